--- /dev/null
+++ b/bench/core_bench.cc
@@ -0,0 +1,1 @@
+int main() {}
--- /dev/null
+++ b/daemons/sassafrasctl/commands.cc
@@ -0,0 +1,169 @@
+#include "commands.h"
+
+#include <cstdint>
+#include <fstream>
+#include <string>
+#include <vector>
+
+#include <boost/json.hpp>
+#include <fmt/format.h>
+#include <fmt/ranges.h>
+
+#include "apply.h"
+#include "base/error.h"
+#include "burn_report.h"
+#include "ctl_options.h"
+#include "lists/lists.h"
+#include "lists/lists_document.h"
+#include "working_copy.h"
+
+namespace sassafras {
+
+namespace asio = boost::asio;
+namespace json = boost::json;
+
+Commands::Commands(const CtlOptions& options)
+    : m_options(options),
+      m_store(options.platform, "sassafrasctl"),
+      m_fleet(options.instances, m_store),
+      m_printer(options.json) {}
+
+const Commands::Row Commands::kRows[] = {
+    {"check", &Commands::Check},    {"show", &Commands::Show},       {"diff", &Commands::Diff},
+    {"apply", &Commands::RunApply}, {"outcome", &Commands::Outcome}, {"status", &Commands::Status},
+    {"burn", &Commands::Burn},
+};
+
+asio::awaitable<ExitCode> Commands::Run() {
+  for (const Row& row : kRows) {
+    if (row.name == m_options.command)
+      co_return co_await (this->*row.run)();
+  }
+  fmt::print(stderr, "sassafrasctl: unknown command '{}'; see 'sassafrasctl --help'\n", m_options.command);
+  co_return ExitCode::kUsage;
+}
+
+ExitCode Commands::Fail(const absl::Status& status) {
+  m_printer.Failure(ErrorKindName(ErrorKindOf(status)), MessageOf(status));
+  return ExitCodeFor(status);
+}
+
+asio::awaitable<ExitCode> Commands::RunApply() {
+  co_return co_await Apply(m_options, m_store, m_fleet, m_printer).Run();
+}
+
+asio::awaitable<ExitCode> Commands::Check() {
+  WorkingCopy copy(m_options.dir);
+  if (absl::Status status = copy.Load(); !status.ok())
+    co_return Fail(status);
+  const auto lists = copy.Check();
+  if (!lists.ok())
+    co_return Fail(lists.status());
+  m_printer.Result({{"result", "valid"},
+                    {"plans", lists->plans.size()},
+                    {"services", lists->services.size()},
+                    {"endpoints", lists->endpoints.size()}},
+                   fmt::format("valid: {} plans, {} services, {} endpoints\n", lists->plans.size(),
+                               lists->services.size(), lists->endpoints.size()));
+  co_return ExitCode::kDone;
+}
+
+asio::awaitable<ExitCode> Commands::Show() {
+  const auto value = co_await m_store.Read();
+  if (!value.ok())
+    co_return Fail(value.status());
+  if (!value->exists) {
+    co_return Fail(MakeError(ErrorKind::kInvalidValue, "the platform holds no lists yet",
+                             "write plans.toml and upstreams.toml and run 'sassafrasctl apply'"));
+  }
+  const auto document = DecodeDocument(value->value);
+  if (!document.ok())
+    co_return Fail(document.status());
+  if (absl::Status status = WorkingCopy(m_options.dir).SaveAll(*document); !status.ok())
+    co_return Fail(status);
+  m_printer.Result(
+      {{"generation", document->generation}, {"author", document->author}, {"dir", m_options.dir}},
+      fmt::format("generation {} by {} written to {}\n", document->generation, document->author, m_options.dir));
+  co_return ExitCode::kDone;
+}
+
+asio::awaitable<ExitCode> Commands::Diff() {
+  WorkingCopy copy(m_options.dir);
+  if (absl::Status status = copy.Load(); !status.ok())
+    co_return Fail(status);
+  const auto lists = copy.Check();
+  if (!lists.ok())
+    co_return Fail(lists.status());
+  const auto value = co_await m_store.Read();
+  if (!value.ok())
+    co_return Fail(value.status());
+  Lists stored_lists;
+  if (value->exists) {
+    const auto document = DecodeDocument(value->value);
+    if (!document.ok())
+      co_return Fail(document.status());
+    const auto parsed = ParseLists(document->plans_toml, document->upstreams_toml);
+    if (!parsed.ok())
+      co_return Fail(parsed.status());
+    stored_lists = *parsed;
+  }
+  const std::vector<std::string> lines = DiffLists(stored_lists, *lists);
+  m_printer.Result({{"changes", json::value_from(lines)}},
+                   lines.empty() ? "no difference\n" : fmt::format("{}\n", fmt::join(lines, "\n")));
+  co_return ExitCode::kDone;
+}
+
+asio::awaitable<ExitCode> Commands::Outcome() {
+  if (m_options.change_id.empty()) {
+    fmt::print(stderr, "sassafrasctl: outcome needs --change-id; it was printed by apply\n");
+    co_return ExitCode::kUsage;
+  }
+  co_return co_await Apply(m_options, m_store, m_fleet, m_printer).Outcome();
+}
+
+asio::awaitable<ExitCode> Commands::Status() {
+  const auto pages = co_await m_fleet.FetchAll("/sassafras/status");
+  json::array rows;
+  std::string text = fmt::format("{:<22} {:<12} {:<9} {:>10} {:>6} {:>8} {:>8} {:>6}\n", "address", "instance", "phase",
+                                 "generation", "peers", "running", "waiting", "seats");
+  size_t silent = 0;
+  for (const Fleet::Page& page : pages) {
+    if (!page.ok) {
+      ++silent;
+      rows.push_back(json::object{{"address", page.address}, {"error", page.error}});
+      text += fmt::format("{:<22} no answer: {}\n", page.address, page.error);
+      continue;
+    }
+    const json::object& body = page.body;
+    const auto number = [&](std::string_view key) { return body.at(key).to_number<int64_t>(); };
+    text += fmt::format("{:<22} {:<12} {:<9} {:>10} {:>6} {:>8} {:>8} {:>6}\n", page.address,
+                        std::string(body.at("instance").as_string()), std::string(body.at("phase").as_string()),
+                        number("generation"), number("peers"), number("calls_in_progress"), number("calls_waiting"),
+                        number("probe_seats"));
+    rows.push_back(body);
+  }
+  m_printer.Result({{"instances", std::move(rows)}}, text);
+  if (pages.empty()) {
+    co_return Fail(MakeError(ErrorKind::kUnreachable, "no entry instance is known",
+                             "name some with --instances, or check --platform"));
+  }
+  co_return silent == 0 ? ExitCode::kDone : ExitCode::kUnreachable;
+}
+
+asio::awaitable<ExitCode> Commands::Burn() {
+  const auto pages = co_await m_fleet.FetchAll("/sassafras/burn");
+  const BurnReport report(pages);
+  m_printer.Result(report.ToJson(), report.ToText());
+  if (!m_options.html_path.empty()) {
+    std::ofstream file(m_options.html_path);
+    file << report.ToHtml();
+    file.close();
+    if (!file) {
+      co_return Fail(MakeError(ErrorKind::kUnreadableFile, fmt::format("{}: cannot be written", m_options.html_path),
+                               "name a file in a folder that exists"));
+    }
+  }
+  co_return pages.empty() ? ExitCode::kUnreachable : ExitCode::kDone;
+}
+
+}  // namespace sassafras
--- /dev/null
+++ b/daemons/sassafrasctl/exit_code.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include <absl/status/status.h>
+
+namespace sassafras {
+
+/** Exit codes of sassafrasctl, by kind of result; listed in --help and docs/OPERATORS.md. */
+enum class ExitCode : int {
+  kDone = 0,
+  kInternal = 1,
+  kUsage = 2,
+  kInvalidInput = 3,
+  kUnreachable = 4,
+  kConflict = 5,
+  kOutcomeUnknown = 6,
+  kNotInForce = 7,
+};
+
+/** Returns the exit code for a failure. */
+ExitCode ExitCodeFor(const absl::Status& status);
+
+}  // namespace sassafras
--- /dev/null
+++ b/daemons/sassafrasd/main.cc
@@ -0,0 +1,99 @@
+#include <csignal>
+#include <cstdio>
+#include <cstdlib>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <fmt/format.h>
+#include <popt.h>
+
+#include "base/error.h"
+#include "base/log.h"
+#include "base/system_clock.h"
+#include "entry/entry_instance.h"
+#include "settings/settings.h"
+
+namespace {
+
+constexpr int kExitUsage = 2;
+constexpr int kExitSettings = 3;
+constexpr int kExitSockets = 4;
+constexpr int kExitCut = 5;
+
+/** What the command line asks for. */
+struct Arguments {
+  std::string settings_path;
+  bool check_only = false;
+};
+
+/** Parses the command line; returns an exit code, or -1 to go on. */
+int ParseArguments(int argc, const char** argv, Arguments& arguments) {
+  char* path = nullptr;
+  int check = 0;
+  const poptOption options[] = {
+      {"settings", 's', POPT_ARG_STRING, &path, 0, "settings file in TOML (required)", "FILE"},
+      {"check", 'c', POPT_ARG_NONE, &check, 0, "check the settings and exit", nullptr},
+      POPT_AUTOHELP POPT_TABLEEND};
+  const std::unique_ptr<poptContext_s, poptContext (*)(poptContext)> context(
+      poptGetContext("sassafrasd", argc, argv, options, 0), &poptFreeContext);
+  const int result = poptGetNextOpt(context.get());
+  const std::unique_ptr<char, void (*)(void*)> path_owner(path, &std::free);
+  if (result < -1) {
+    fmt::print(stderr, "sassafrasd: {}: {}; see 'sassafrasd --help'\n", poptBadOption(context.get(), 0),
+               poptStrerror(result));
+    return kExitUsage;
+  }
+  if (path == nullptr || poptPeekArg(context.get()) != nullptr) {
+    fmt::print(stderr, "sassafrasd: name one settings file with --settings FILE; see 'sassafrasd --help'\n");
+    return kExitUsage;
+  }
+  arguments.settings_path = path;
+  arguments.check_only = check != 0;
+  return -1;
+}
+
+int Run(const sassafras::Settings& settings) {
+  // A peer that closes its connection must not end the process.
+  std::signal(SIGPIPE, SIG_IGN);
+  boost::asio::io_context context(1);
+  const sassafras::SystemClock clock;
+  sassafras::EntryInstance instance(context, settings, clock);
+  if (const absl::Status status = instance.Start(); !status.ok()) {
+    fmt::print(stderr, "sassafrasd: {}\n", sassafras::MessageOf(status));
+    return kExitSockets;
+  }
+  boost::asio::signal_set signals(context, SIGTERM, SIGINT);
+  const std::function<void()> wait = [&] {
+    signals.async_wait([&](boost::system::error_code error, int /*signal*/) {
+      if (error)
+        return;
+      instance.RequestStop();
+      // A second signal is taken too, and cuts nothing off.
+      wait();
+    });
+  };
+  wait();
+  context.run();
+  return instance.CutRequests() == 0 ? 0 : kExitCut;
+}
+
+}  // namespace
+
+int main(int argc, const char** argv) {
+  Arguments arguments;
+  if (const int code = ParseArguments(argc, argv, arguments); code >= 0)
+    return code;
+  const auto settings = sassafras::LoadSettings(arguments.settings_path);
+  if (!settings.ok()) {
+    fmt::print(stderr, "sassafrasd: {}\n", sassafras::MessageOf(settings.status()));
+    return kExitSettings;
+  }
+  if (arguments.check_only) {
+    fmt::print("{}: settings are valid\n", arguments.settings_path);
+    return 0;
+  }
+  return Run(*settings);
+}
--- /dev/null
+++ b/libs/base/include/base/clock.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include <chrono>
+
+namespace sassafras {
+
+/** Monotonic time of one process. */
+using TimePoint = std::chrono::steady_clock::time_point;
+using Duration = std::chrono::steady_clock::duration;
+
+/**
+ * Source of monotonic time. Everything outside the reducer reads time through this interface, so that
+ * tests can pause and advance it.
+ */
+class Clock {
+ public:
+  virtual ~Clock() = default;
+  virtual TimePoint Now() const = 0;
+};
+
+}  // namespace sassafras
--- /dev/null
+++ b/libs/base/include/base/hash.h
@@ -0,0 +1,14 @@
+#pragma once
+
+#include <cstdint>
+#include <string_view>
+
+namespace sassafras {
+
+/** Returns the 64-bit XXH3 hash of `bytes`; the same on every instance. */
+uint64_t Hash64(std::string_view bytes, uint64_t seed = 0);
+
+/** Mixes a hash with one more word. */
+uint64_t HashCombine(uint64_t hash, uint64_t word);
+
+}  // namespace sassafras
--- /dev/null
+++ b/libs/base/src/error.cc
@@ -0,0 +1,64 @@
+#include "base/error.h"
+
+#include <array>
+#include <cstddef>
+
+#include <absl/strings/cord.h>
+#include <fmt/format.h>
+
+namespace sassafras {
+namespace {
+
+constexpr absl::string_view kPayloadUrl = "sassafraspath/error-kind";
+
+struct KindRow {
+  ErrorKind kind;
+  std::string_view name;
+  absl::StatusCode code;
+};
+
+constexpr std::array<KindRow, 9> kKinds = {{
+    {ErrorKind::kUnreadableFile, "unreadable_file", absl::StatusCode::kNotFound},
+    {ErrorKind::kInvalidSyntax, "invalid_syntax", absl::StatusCode::kInvalidArgument},
+    {ErrorKind::kInvalidValue, "invalid_value", absl::StatusCode::kInvalidArgument},
+    {ErrorKind::kUnknownKey, "unknown_key", absl::StatusCode::kInvalidArgument},
+    {ErrorKind::kUnreachable, "unreachable", absl::StatusCode::kUnavailable},
+    {ErrorKind::kConflict, "conflict", absl::StatusCode::kAborted},
+    {ErrorKind::kOutcomeUnknown, "outcome_unknown", absl::StatusCode::kUnknown},
+    {ErrorKind::kExhausted, "exhausted", absl::StatusCode::kResourceExhausted},
+    {ErrorKind::kInternal, "internal", absl::StatusCode::kInternal},
+}};
+
+const KindRow& RowOf(ErrorKind kind) {
+  return kKinds[static_cast<size_t>(kind)];
+}
+
+}  // namespace
+
+std::string_view ErrorKindName(ErrorKind kind) {
+  return RowOf(kind).name;
+}
+
+absl::Status MakeError(ErrorKind kind, std::string_view what, std::string_view remedy) {
+  absl::Status status(RowOf(kind).code, fmt::format("{}; {}", what, remedy));
+  status.SetPayload(kPayloadUrl, absl::Cord(std::string(RowOf(kind).name)));
+  return status;
+}
+
+ErrorKind ErrorKindOf(const absl::Status& status) {
+  auto payload = status.GetPayload(kPayloadUrl);
+  if (!payload.has_value())
+    return ErrorKind::kInternal;
+  const std::string name(*payload);
+  for (const KindRow& row : kKinds) {
+    if (name == row.name)
+      return row.kind;
+  }
+  return ErrorKind::kInternal;
+}
+
+std::string MessageOf(const absl::Status& status) {
+  return std::string(status.message());
+}
+
+}  // namespace sassafras
--- /dev/null
+++ b/libs/base/src/toml_reader.cc
@@ -0,0 +1,210 @@
+#include "base/toml_reader.h"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <fstream>
+#include <iterator>
+#include <optional>
+#include <sstream>
+#include <utility>
+
+#include <fmt/chrono.h>
+#include <fmt/format.h>
+#include <fmt/ranges.h>
+
+#include "base/error.h"
+
+namespace sassafras {
+namespace {
+
+using std::chrono::microseconds;
+
+struct Unit {
+  std::string_view suffix;
+  microseconds length;
+};
+
+constexpr std::array<Unit, 5> kUnits = {{
+    {"us", microseconds(1)},
+    {"ms", microseconds(1'000)},
+    {"min", microseconds(60'000'000)},
+    {"h", microseconds(3'600'000'000)},
+    {"s", microseconds(1'000'000)},
+}};
+
+std::optional<microseconds> ParseDuration(std::string_view text) {
+  constexpr int64_t kMaxCount = 1'000'000;
+  int64_t count = 0;
+  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), count);
+  if (error != std::errc() || count < 0 || count > kMaxCount)
+    return std::nullopt;
+  const std::string_view suffix = text.substr(static_cast<size_t>(end - text.data()));
+  for (const Unit& unit : kUnits) {
+    if (suffix == unit.suffix)
+      return count * unit.length;
+  }
+  return std::nullopt;
+}
+
+}  // namespace
+
+TomlReader::TomlReader(const toml::table& table, std::string where) : m_table(table), m_where(std::move(where)) {}
+
+const toml::node* TomlReader::Find(std::string_view key, bool required) {
+  m_read.emplace_back(key);
+  const toml::node* node = m_table.get(key);
+  if (node == nullptr && required)
+    FailMissing(key);
+  return node;
+}
+
+void TomlReader::Fail(const toml::node* node, std::string_view what, std::string_view remedy) {
+  if (!m_status.ok())
+    return;
+  const auto line = node != nullptr ? node->source().begin.line : m_table.source().begin.line;
+  m_status = MakeError(ErrorKind::kInvalidValue, fmt::format("{} line {}: {}", m_where, line, what), remedy);
+}
+
+void TomlReader::FailMissing(std::string_view key) {
+  Fail(nullptr, fmt::format("key '{}' is missing", key), fmt::format("add '{} = ...'", key));
+}
+
+std::string TomlReader::String(std::string_view key) {
+  const toml::node* node = Find(key, true);
+  if (node == nullptr)
+    return {};
+  const auto value = node->value_exact<std::string>();
+  if (!value.has_value() || value->empty()) {
+    Fail(node, fmt::format("'{}' is not a text", key), "write a non-empty text in quotes");
+    return {};
+  }
+  return *value;
+}
+
+std::string TomlReader::StringOr(std::string_view key, std::string_view fallback) {
+  if (m_table.get(key) == nullptr) {
+    m_read.emplace_back(key);
+    return std::string(fallback);
+  }
+  return String(key);
+}
+
+int64_t TomlReader::Integer(std::string_view key, int64_t low, int64_t high) {
+  const toml::node* node = Find(key, true);
+  if (node == nullptr)
+    return low;
+  const auto value = node->value_exact<int64_t>();
+  if (!value.has_value() || *value < low || *value > high) {
+    Fail(node, fmt::format("'{}' is not a whole number from {} to {}", key, low, high),
+         "write a number in that range, without quotes");
+    return low;
+  }
+  return *value;
+}
+
+int64_t TomlReader::IntegerOr(std::string_view key, int64_t low, int64_t high, int64_t fallback) {
+  if (m_table.get(key) == nullptr) {
+    m_read.emplace_back(key);
+    return fallback;
+  }
+  return Integer(key, low, high);
+}
+
+double TomlReader::NumberOr(std::string_view key, double low, double high, double fallback) {
+  const toml::node* node = Find(key, false);
+  if (node == nullptr)
+    return fallback;
+  const auto value = node->is_number() ? node->value<double>() : std::nullopt;
+  if (!value.has_value() || !(*value >= low && *value <= high)) {
+    Fail(node, fmt::format("'{}' is not a number from {} to {}", key, low, high),
+         "write a number in that range, without quotes");
+    return fallback;
+  }
+  return *value;
+}
+
+microseconds TomlReader::DurationOr(std::string_view key, microseconds low, microseconds high, microseconds fallback) {
+  const toml::node* node = Find(key, false);
+  if (node == nullptr)
+    return fallback;
+  const auto text = node->value_exact<std::string>();
+  const auto value = text.has_value() ? ParseDuration(*text) : std::nullopt;
+  if (!value.has_value() || *value < low || *value > high) {
+    Fail(node, fmt::format("'{}' is not a duration from {} to {}", key, low, high),
+         "write a whole number with a unit in quotes, such as \"40ms\", \"2s\" or \"10min\"");
+    return fallback;
+  }
+  return *value;
+}
+
+size_t TomlReader::Word(std::string_view key, std::span<const std::string_view> words, size_t fallback) {
+  const toml::node* node = Find(key, false);
+  if (node == nullptr)
+    return fallback;
+  const auto value = node->value_exact<std::string>();
+  const auto found = value.has_value() ? std::find(words.begin(), words.end(), *value) : words.end();
+  if (found == words.end()) {
+    Fail(node, fmt::format("'{}' is none of {}", key, fmt::join(words, ", ")), "write one of these words in quotes");
+    return fallback;
+  }
+  return static_cast<size_t>(found - words.begin());
+}
+
+std::vector<std::string> TomlReader::StringsOr(std::string_view key) {
+  std::vector<std::string> result;
+  const toml::node* node = Find(key, false);
+  if (node == nullptr)
+    return result;
+  const toml::array* array = node->as_array();
+  if (array == nullptr) {
+    Fail(node, fmt::format("'{}' is not a list of texts", key), "write [\"one\", \"two\"]");
+    return result;
+  }
+  for (const toml::node& item : *array) {
+    const auto value = item.value_exact<std::string>();
+    if (!value.has_value())
+      Fail(&item, fmt::format("'{}' holds something that is no text", key), "write only texts in quotes");
+    else
+      result.push_back(*value);
+  }
+  return result;
+}
+
+absl::Status TomlReader::Finish() {
+  if (!m_status.ok())
+    return m_status;
+  for (const auto& [key, node] : m_table) {
+    if (std::find(m_read.begin(), m_read.end(), key.str()) != m_read.end())
+      continue;
+    std::sort(m_read.begin(), m_read.end());
+    return MakeError(ErrorKind::kUnknownKey,
+                     fmt::format("{} line {}: unknown key '{}'", m_where, key.source().begin.line, key.str()),
+                     fmt::format("remove it or use one of: {}", fmt::join(m_read, ", ")));
+  }
+  return absl::OkStatus();
+}
+
+absl::StatusOr<toml::table> ParseToml(std::string_view text, std::string_view file_name) {
+  try {
+    return toml::parse(text, file_name);
+  } catch (const toml::parse_error& error) {
+    return MakeError(ErrorKind::kInvalidSyntax,
+                     fmt::format("{} line {}: {}", file_name, error.source().begin.line, error.description()),
+                     "mend the TOML syntax there");
+  }
+}
+
+absl::StatusOr<std::string> ReadFile(const std::string& path) {
+  std::ifstream file(path, std::ios::binary);
+  std::stringstream text;
+  if (file)
+    text << file.rdbuf();
+  if (!file) {
+    return MakeError(ErrorKind::kUnreadableFile, fmt::format("{}: cannot be read", path),
+                     "check that the file exists and may be read");
+  }
+  return text.str();
+}
+
+}  // namespace sassafras
--- /dev/null
+++ b/libs/core/include/core/effect.h
@@ -0,0 +1,101 @@
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "base/clock.h"
+#include "base/handle.h"
+#include "core/call_handle.h"
+#include "core/outcome.h"
+
+namespace sassafras {
+
+struct GossipMessage;
+struct RecordedAnswer;
+
+/** What the reducer wants done. Effects are data; the shell carries them out in order. */
+struct Effect {
+  /** The call was accepted under this handle. Comes before any other effect of the call. */
+  struct Accepted {
+    uint64_t ticket = 0;
+    CallHandle call;
+  };
+  /** Send the request to the endpoint; its end is reported as AttemptEnded. */
+  struct Dispatch {
+    uint64_t ticket = 0;
+    CallHandle call;
+    EndpointHandle endpoint;
+    TimePoint deadline;
+    /** When to report HedgeDue; TimePoint::max() for never. */
+    TimePoint hedge_at;
+    /** Whether the call has a record that wants the answer kept. */
+    bool keep_answer = false;
+  };
+  /** Tell the caller that there is no answer; the call has ended. */
+  struct Reject {
+    uint64_t ticket = 0;
+    Reason reason = Reason::kNoPlan;
+    /** Address of the owner for Reason::kRedirectToOwner. */
+    std::string owner_address;
+  };
+  /** Give the caller a recorded answer; the call has ended. */
+  struct AnswerRecorded {
+    uint64_t ticket = 0;
+    std::shared_ptr<const RecordedAnswer> answer;
+  };
+  /** Send a probe now, unless `not_after` has passed when it would leave. */
+  struct SendProbe {
+    EndpointHandle endpoint;
+    TimePoint not_after;
+  };
+  struct SendGossip {
+    std::string peer_address;
+    std::shared_ptr<const GossipMessage> message;
+  };
+  /** Ask a peer for lists above our generation. */
+  struct FetchLists {
+    std::string peer_address;
+  };
+  /** Read the lists and the list of instances from the platform once. */
+  struct PollStore {};
+  /** Keep or drop a watch on the store. */
+  struct WatchStore {
+    bool on = false;
+  };
+  /** The store holds an older generation than ours; write ours back. */
+  struct RestoreLists {
+    uint64_t generation = 0;
+  };
+  /** Ask the platform for a probe seat, or renew it. */
+  struct ClaimSeat {
+    uint32_t seat = 0;
+  };
+  /** Give a seat back. */
+  struct ReleaseSeat {
+    uint32_t seat = 0;
+  };
+  /** Accept no more connections and close idle ones; exit when no call is left. */
+  struct CloseListeners {};
+
+  using Any = std::variant<Accepted,
+                           Dispatch,
+                           Reject,
+                           AnswerRecorded,
+                           SendProbe,
+                           SendGossip,
+                           FetchLists,
+                           PollStore,
+                           WatchStore,
+                           RestoreLists,
+                           ClaimSeat,
+                           ReleaseSeat,
+                           CloseListeners>;
+};
+
+/** Effects of one event, in order. Reused between events so that none is allocated on the call path. */
+using Effects = std::vector<Effect::Any>;
+
+}  // namespace sassafras
--- /dev/null
+++ b/libs/core/include/core/event.h
@@ -0,0 +1,156 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "base/clock.h"
+#include "base/handle.h"
+#include "core/call_handle.h"
+#include "core/gossip_message.h"
+#include "core/idempotency.h"
+#include "core/load_report.h"
+#include "core/member.h"
+
+namespace sassafras {
+
+struct Lists;
+struct RecordedAnswer;
+
+/** How an attempt at an endpoint ended. */
+enum class AttemptResult : uint8_t {
+  /** The whole answer was received. */
+  kAnswered,
+  /** The endpoint explicitly refused before running the request. */
+  kRefused,
+  /** The endpoint could not be reached; no byte of the request left. */
+  kNotSent,
+  /** This instance changed its mind before any byte left: the deadline passed or the endpoint began to leave. */
+  kWithdrawn,
+  /** The connection broke after a byte was written, before the answer began. */
+  kBroken,
+  /** The connection broke, or the answer was malformed, after a part had been passed to the caller. */
+  kBrokenInAnswer,
+  /** The answer was malformed before any of it had been passed on. */
+  kMalformed,
+  /** The deadline passed after a byte was written. */
+  kTimedOut,
+  /** The caller went away, or another attempt answered first. */
+  kCancelled,
+};
+
+/** Everything that can happen to the reducer. Time and randomness come in with events. */
+struct Event {
+  /** Lists were read from the store or a peer. */
+  struct ListsReceived {
+    TimePoint now;
+    uint64_t generation = 0;
+    std::shared_ptr<const Lists> lists;
+  };
+  /** The store answered and holds `generation`; 0 if it holds no lists. */
+  struct StoreConfirmed {
+    TimePoint now;
+    uint64_t generation = 0;
+  };
+  /** A peer answered a request for lists and holds none above `generation`. */
+  struct PeerConfirmed {
+    TimePoint now;
+    uint64_t generation = 0;
+  };
+  /** The platform's list of entry instances and of endpoints that leave. */
+  struct DirectoryReceived {
+    struct EndpointMark {
+      std::string name;
+      uint64_t incarnation = 0;
+      bool leaving = false;
+    };
+    TimePoint now;
+    std::vector<Member> members;
+    std::vector<EndpointMark> endpoints;
+  };
+  struct GossipReceived {
+    TimePoint now;
+    GossipMessage message;
+  };
+  struct CallArrived {
+    TimePoint now;
+    /** The shell's own name for the call, returned in effects. */
+    uint64_t ticket = 0;
+    PlanHandle plan;
+    /** Time the caller still gives, at most; the plan's deadline applies too. */
+    Duration limit = Duration::max();
+    /** Hash of method, path and body. */
+    uint64_t fingerprint = 0;
+    /** Whether the request can be sent a second time. */
+    bool replayable = true;
+    Idempotency idempotency;
+  };
+  /** The caller of a waiting or running call went away. */
+  struct CallerGone {
+    TimePoint now;
+    CallHandle call;
+  };
+  /** No answer began within the hedge delay of the call's first attempt. */
+  struct HedgeDue {
+    TimePoint now;
+    CallHandle call;
+  };
+  struct AttemptEnded {
+    TimePoint now;
+    CallHandle call;
+    EndpointHandle endpoint;
+    AttemptResult result = AttemptResult::kAnswered;
+    /** Whether the answer counts as a failure of the service (status 5xx). */
+    bool failure_status = false;
+    LoadReport load;
+    /** The answer of a call with an idempotency key; null if too large to keep. */
+    std::shared_ptr<const RecordedAnswer> answer;
+  };
+  struct ProbeEnded {
+    TimePoint now;
+    EndpointHandle endpoint;
+    bool answered = false;
+    LoadReport load;
+  };
+  /** The platform granted or renewed a probe seat. */
+  struct SeatGranted {
+    TimePoint now;
+    uint32_t seat = 0;
+    /** Counted from before the request for the lease was sent. */
+    TimePoint valid_until;
+  };
+  struct SeatRefused {
+    TimePoint now;
+    uint32_t seat = 0;
+  };
+  /** Time passed; sent every kTickPeriod. */
+  struct Tick {
+    TimePoint now;
+  };
+  struct StopRequested {
+    TimePoint now;
+  };
+
+  using Any = std::variant<ListsReceived,
+                           StoreConfirmed,
+                           PeerConfirmed,
+                           DirectoryReceived,
+                           GossipReceived,
+                           CallArrived,
+                           CallerGone,
+                           HedgeDue,
+                           AttemptEnded,
+                           ProbeEnded,
+                           SeatGranted,
+                           SeatRefused,
+                           Tick,
+                           StopRequested>;
+};
+
+/** Period of Event::Tick. */
+constexpr std::chrono::milliseconds kTickPeriod{5};
+
+}  // namespace sassafras
--- /dev/null
+++ b/libs/core/include/core/gossip_message.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "core/member.h"
+
+namespace sassafras {
+
+/** One gossip datagram between entry instances. Its size does not depend on the size of the fleet. */
+struct GossipMessage {
+  /** A fact that every instance should learn quickly. */
+  struct Rumor {
+    enum class Kind : uint8_t { kLeaving, kSuspect, kQuarantine };
+    Kind kind = Kind::kLeaving;
+    /** Endpoint name hash for kLeaving, else request fingerprint. */
+    uint64_t subject = 0;
+    /** Endpoint incarnation for kLeaving, endpoint name hash for kSuspect. */
+    uint64_t detail = 0;
+    /** Time until the fact lapses. */
+    std::chrono::milliseconds lifetime{};
+  };
+  /** Load of one endpoint as the sender last saw it. */
+  struct EndpointLoad {
+    uint64_t endpoint = 0;
+    uint32_t in_flight = 0;
+    std::chrono::milliseconds age{};
+  };
+
+  Member sender;
+  uint64_t generation = 0;
+  /** Age of the newest proof, seen by anyone, that the store held no higher generation. */
+  std::chrono::milliseconds store_age{};
+  std::vector<Rumor> rumors;
+  std::vector<EndpointLoad> loads;
+  /** A few other members, so that joins and heartbeats spread. */
+  std::vector<Member> members;
+};
+
+}  // namespace sassafras
--- /dev/null
+++ b/libs/core/src/attempts.cc
@@ -0,0 +1,215 @@
+#include "attempts.h"
+
+#include <algorithm>
+#include <chrono>
+
+#include "call_end.h"
+#include "dispatch.h"
+#include "endpoint_news.h"
+#include "parts.h"
+#include "selection.h"
+
+namespace sassafras {
+namespace {
+
+using Stage = CallState::Stage;
+
+/** Part of a retry token that a new attempt after an explicit refusal costs. */
+constexpr double kRefusalCost = 0.25;
+constexpr double kRetryCost = 1.0;
+/** Consecutive failures from which an endpoint is ejected. */
+constexpr uint16_t kEjectAfter = 3;
+constexpr std::chrono::milliseconds kFirstEjection{500};
+constexpr uint8_t kMaxEjectionShift = 6;
+
+/** Reason to tell the caller when no attempt is left. */
+Reason FinalReason(AttemptResult result, bool may_have_run, bool in_time) {
+  if (result == AttemptResult::kTimedOut)
+    return Reason::kDeadlineWhileRunning;
+  if (result == AttemptResult::kMalformed)
+    return Reason::kBadAnswer;
+  if (result == AttemptResult::kBroken || may_have_run)
+    return Reason::kConnectionBroken;
+  if (!in_time)
+    return Reason::kDeadlineBeforeStart;
+  return result == AttemptResult::kNotSent ? Reason::kConnectFailed : Reason::kRefusedByUpstreams;
+}
+
+bool IsNotRun(AttemptResult result) {
+  return result == AttemptResult::kRefused || result == AttemptResult::kNotSent || result == AttemptResult::kWithdrawn;
+}
+
+/** Whether another attempt may follow one that ended like this. */
+bool MayRetry(Parts& parts, const CallState& call, AttemptResult result, TimePoint now) {
+  PlanState& plan = parts.At(call.plan);
+  const bool repeatable = plan.row.repeat == Repeat::kSafe || !call.may_have_run;
+  const bool retryable = IsNotRun(result) || result == AttemptResult::kBroken;
+  if (!repeatable || !retryable || !call.replayable)
+    return false;
+  if (call.attempts >= CallState::kMaxAttempts || now >= call.deadline)
+    return false;
+  if (parts.quarantine.IsQuarantined(call.fingerprint, now))
+    return false;
+  return plan.retry_budget.Spend(result == AttemptResult::kRefused ? kRefusalCost : kRetryCost);
+}
+
+/** Moves the estimate up by 19 steps for each answer above it and down by one for each below. */
+void UpdateP95(float& estimate, float sample) {
+  constexpr float kStep = 0.005F;
+  constexpr float kUpSteps = 19.0F;
+  if (estimate <= 0.0F)
+    estimate = sample;
+  else
+    estimate *= sample > estimate ? 1.0F + kUpSteps * kStep : 1.0F - kStep;
+}
+
+void LearnLatency(Parts& parts, const CallState& call, EndpointHandle endpoint, TimePoint now) {
+  const auto end = call.tried.begin() + call.attempts;
+  const auto attempt = std::find(call.tried.begin(), end, endpoint);
+  if (attempt == end)
+    return;
+  const TimePoint dispatched = call.dispatched[static_cast<size_t>(attempt - call.tried.begin())];
+  const float micros = std::chrono::duration<float, std::micro>(now - dispatched).count();
+  PlanState& plan = parts.At(call.plan);
+  UpdateAverage(parts.At(endpoint).latency_us, micros);
+  UpdateAverage(parts.At(plan.service).LatencyFor(plan.row.work), micros);
+  UpdateP95(plan.p95_us, micros);
+}
+
+size_t CountEjected(const Parts& parts, const ServiceState& service, TimePoint now) {
+  return static_cast<size_t>(
+      std::count_if(service.endpoints.begin(), service.endpoints.end(),
+                    [&](EndpointHandle endpoint) { return parts.endpoints[endpoint].ejected_until > now; }));
+}
+
+/** Keeps an endpoint that fails again and again out of use for a while, but never half of a service. */
+void NoteFailure(Parts& parts, EndpointHandle endpoint, TimePoint now) {
+  EndpointState& state = parts.At(endpoint);
+  ++state.consecutive_failures;
+  if (state.consecutive_failures < kEjectAfter || state.ejected_until > now || !state.service.IsValid())
+    return;
+  const ServiceState& service = parts.At(state.service);
+  if (2 * (CountEjected(parts, service, now) + 1) > service.endpoints.size())
+    return;
+  state.ejected_until = now + kFirstEjection * (1 << std::min(state.ejections, kMaxEjectionShift));
+  ++state.ejections;
+}
+
+/** A refusal without a report says that all slots are taken. */
+void NoteFull(EndpointState& state, TimePoint now) {
+  state.reported = std::max(state.reported, state.slots);
+  state.own_at_report = state.in_flight;
+  state.reported_at = now;
+}
+
+void NoteSuccess(EndpointState& state) {
+  state.consecutive_failures = 0;
+  state.ejections = 0;
+}
+
+/** Takes in that a connection broke while the request ran there. */
+void NoteCrash(Parts& parts, uint64_t fingerprint, EndpointHandle endpoint, TimePoint now) {
+  using Kind = GossipMessage::Rumor::Kind;
+  const uint64_t name_hash = parts.At(endpoint).name_hash;
+  const Quarantine::Change change = parts.quarantine.Suspect(fingerprint, name_hash, now);
+  if (change == Quarantine::Change::kNone)
+    return;
+  SpreadRumor(parts, {Kind::kSuspect, fingerprint, name_hash, Quarantine::kSuspectLifetime}, now);
+  if (change == Quarantine::Change::kQuarantined)
+    SpreadRumor(parts, {Kind::kQuarantine, fingerprint, 0, Quarantine::kQuarantineLifetime}, now);
+}
+
+void LearnFromEnd(Parts& parts, const Event::AttemptEnded& event, const CallState* call) {
+  EndpointState& state = parts.At(event.endpoint);
+  if (state.in_flight > 0)
+    --state.in_flight;
+  LearnFromReport(parts, event.endpoint, event.load, event.now);
+  switch (event.result) {
+    case AttemptResult::kAnswered:
+      state.progress_at = event.now;
+      NoteSuccess(state);
+      if (call != nullptr) {
+        LearnLatency(parts, *call, event.endpoint, event.now);
+        parts.quarantine.Clear(call->fingerprint);
+      }
+      break;
+    case AttemptResult::kRefused:
+      state.progress_at = event.now;
+      if (!event.load.present)
+        NoteFull(state, event.now);
+      break;
+    case AttemptResult::kBroken:
+    case AttemptResult::kBrokenInAnswer:
+      NoteFailure(parts, event.endpoint, event.now);
+      if (call != nullptr)
+        NoteCrash(parts, call->fingerprint, event.endpoint, event.now);
+      break;
+    case AttemptResult::kNotSent:
+    case AttemptResult::kTimedOut:
+    case AttemptResult::kMalformed:
+      NoteFailure(parts, event.endpoint, event.now);
+      break;
+    case AttemptResult::kWithdrawn:
+    case AttemptResult::kCancelled:
+      break;
+  }
+}
+
+/** Decides what follows when the last outstanding attempt of a call ended without an answer. */
+void RetryOrReject(Parts& parts, const Event::AttemptEnded& event, Effects& effects) {
+  CallState& call = *parts.calls.Find(event.call);
+  if (event.result == AttemptResult::kBrokenInAnswer) {
+    EndRejected(parts, event.call, Reason::kConnectionBroken, event.now, effects);
+    return;
+  }
+  if (event.result == AttemptResult::kCancelled) {
+    EndCancelled(parts, event.call, true, event.now, effects);
+    return;
+  }
+  if (MayRetry(parts, call, event.result, event.now)) {
+    ++parts.At(call.plan).totals.retries;
+    if (!TryDispatch(parts, event.call, event.now, effects))
+      Enqueue(parts, event.call, event.now, effects);
+    return;
+  }
+  EndRejected(parts, event.call, FinalReason(event.result, call.may_have_run, event.now < call.deadline), event.now,
+              effects);
+}
+
+}  // namespace
+
+void OnHedgeDue(Parts& parts, const Event::HedgeDue& event, Effects& effects) {
+  CallState* call = parts.calls.Find(event.call);
+  if (call == nullptr || call->stage != Stage::kRunning || call->outstanding != 1)
+    return;
+  PlanState& plan = parts.At(call->plan);
+  if (!MayHedge(parts, *call, plan) || parts.quarantine.IsSuspect(call->fingerprint))
+    return;
+  Selector selector(parts, plan, *call, event.now);
+  const EndpointHandle endpoint = selector.Choose(parts.options.selection);
+  if (!endpoint.IsValid() || !plan.hedge_budget.Spend(1.0))
+    return;
+  call->hedged = true;
+  ++plan.totals.hedges;
+  Dispatch(parts, event.call, endpoint, event.now, effects);
+}
+
+void OnAttemptEnded(Parts& parts, const Event::AttemptEnded& event, Effects& effects) {
+  CallState* call = parts.calls.Find(event.call);
+  LearnFromEnd(parts, event, call);
+  const ServiceHandle service = parts.At(event.endpoint).service;
+  if (call != nullptr) {
+    if (call->outstanding > 0)
+      --call->outstanding;
+    if (!IsNotRun(event.result))
+      call->may_have_run = true;
+    if (event.result == AttemptResult::kAnswered)
+      EndAnswered(parts, event.call, event.failure_status, event.answer, event.now, effects);
+    else if (call->outstanding == 0)
+      RetryOrReject(parts, event, effects);
+  }
+  if (service.IsValid())
+    PumpQueues(parts, parts.At(service), event.now, effects);
+}
+
+}  // namespace sassafras
--- /dev/null
+++ b/libs/core/src/attempts.h
@@ -0,0 +1,14 @@
+#pragma once
+
+#include "core/effect.h"
+#include "core/event.h"
+
+namespace sassafras {
+
+struct Parts;
+
+/** Sub-reducers for attempts at endpoints. */
+void OnHedgeDue(Parts& parts, const Event::HedgeDue& event, Effects& effects);
+void OnAttemptEnded(Parts& parts, const Event::AttemptEnded& event, Effects& effects);
+
+}  // namespace sassafras
--- /dev/null
+++ b/libs/core/src/call_end.cc
@@ -0,0 +1,100 @@
+#include "call_end.h"
+
+#include <utility>
+
+#include "parts.h"
+
+namespace sassafras {
+namespace {
+
+using Record = IdempotencyTable::Record;
+
+/** Takes a call that waits for a record out of the table and returns the next one. */
+CallHandle RemoveWaiter(Parts& parts, CallHandle handle) {
+  const CallHandle next = parts.calls.Find(handle)->next_waiter;
+  parts.calls.Remove(handle);
+  return next;
+}
+
+void AnswerWaiters(Parts& parts, uint32_t position, TimePoint now, Effects& effects) {
+  Record& record = parts.records.At(position);
+  CallHandle waiter = std::exchange(record.first_waiter, CallHandle());
+  while (const CallState* call = parts.calls.Find(waiter)) {
+    if (record.answer != nullptr) {
+      CountOutcome(parts, *call, &PlanCounters::good, now);
+      effects.push_back(Effect::AnswerRecorded{call->ticket, record.answer});
+    } else {
+      CountOutcome(parts, *call, &PlanCounters::unknown, now);
+      effects.push_back(Effect::Reject{call->ticket, Reason::kAnswerNotKept, {}});
+    }
+    waiter = RemoveWaiter(parts, waiter);
+  }
+}
+
+void RejectWaiters(Parts& parts, uint32_t position, Reason reason, TimePoint now, Effects& effects) {
+  CallHandle waiter = std::exchange(parts.records.At(position).first_waiter, CallHandle());
+  const bool not_run = InfoOf(reason).outcome == Outcome::kNotRun;
+  const Reason waiter_reason = not_run ? reason : Reason::kEarlierRunUnknown;
+  while (const CallState* call = parts.calls.Find(waiter)) {
+    CountOutcome(parts, *call, not_run ? &PlanCounters::not_run : &PlanCounters::unknown, now);
+    effects.push_back(Effect::Reject{call->ticket, waiter_reason, {}});
+    waiter = RemoveWaiter(parts, waiter);
+  }
+}
+
+/** Settles the record of a call that ended without an answer. */
+void CloseRecord(Parts& parts, uint32_t position, Reason reason, TimePoint now, Effects& effects) {
+  if (position == CallState::kNoRecord)
+    return;
+  RejectWaiters(parts, position, reason, now, effects);
+  if (InfoOf(reason).outcome == Outcome::kNotRun)
+    parts.records.Remove(position);
+  else
+    parts.records.At(position).stage = Record::Stage::kUnknown;
+}
+
+}  // namespace
+
+void CountOutcome(Parts& parts, const CallState& call, uint64_t PlanCounters::*field, TimePoint now) {
+  PlanState& plan = parts.At(call.plan);
+  plan.totals.*field += 1;
+  plan.ring->Add(field, now);
+}
+
+void EndAnswered(Parts& parts,
+                 CallHandle handle,
+                 bool failure_status,
+                 std::shared_ptr<const RecordedAnswer> answer,
+                 TimePoint now,
+                 Effects& effects) {
+  const CallState call = *parts.calls.Find(handle);
+  const bool slow = now - call.arrived > parts.At(call.plan).row.objective_latency;
+  if (failure_status)
+    CountOutcome(parts, call, &PlanCounters::failed, now);
+  else
+    CountOutcome(parts, call, slow ? &PlanCounters::slow : &PlanCounters::good, now);
+  parts.calls.Remove(handle);
+  if (call.record == CallState::kNoRecord)
+    return;
+  parts.records.StoreAnswer(call.record, std::move(answer));
+  AnswerWaiters(parts, call.record, now, effects);
+}
+
+void EndRejected(Parts& parts, CallHandle handle, Reason reason, TimePoint now, Effects& effects) {
+  const CallState call = *parts.calls.Find(handle);
+  const bool not_run = InfoOf(reason).outcome == Outcome::kNotRun;
+  CountOutcome(parts, call, not_run ? &PlanCounters::not_run : &PlanCounters::unknown, now);
+  effects.push_back(Effect::Reject{call.ticket, reason, {}});
+  parts.calls.Remove(handle);
+  CloseRecord(parts, call.record, reason, now, effects);
+}
+
+void EndCancelled(Parts& parts, CallHandle handle, bool may_have_run, TimePoint now, Effects& effects) {
+  const CallState call = *parts.calls.Find(handle);
+  CountOutcome(parts, call, &PlanCounters::cancelled, now);
+  parts.calls.Remove(handle);
+  CloseRecord(parts, call.record, may_have_run ? Reason::kEarlierRunUnknown : Reason::kDeadlineBeforeStart, now,
+              effects);
+}
+
+}  // namespace sassafras
--- /dev/null
+++ b/libs/core/src/call_end.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include <cstdint>
+#include <memory>
+
+#include "base/clock.h"
+#include "core/call_handle.h"
+#include "core/effect.h"
+#include "core/outcome.h"
+#include "core/plan_counters.h"
+
+namespace sassafras {
+
+struct CallState;
+struct Parts;
+struct RecordedAnswer;
+
+/** Counts one ended call of a plan. */
+void CountOutcome(Parts& parts, const CallState& call, uint64_t PlanCounters::*field, TimePoint now);
+
+/** Ends a call that got its whole answer, and gives the answer to calls that wait for its record. */
+void EndAnswered(Parts& parts,
+                 CallHandle handle,
+                 bool failure_status,
+                 std::shared_ptr<const RecordedAnswer> answer,
+                 TimePoint now,
+                 Effects& effects);
+
+/** Ends a call with an error, and calls that wait for its record likewise. */
+void EndRejected(Parts& parts, CallHandle handle, Reason reason, TimePoint now, Effects& effects);
+
+/** Ends a call whose caller has gone; `may_have_run` decides whether a record of it stays. */
+void EndCancelled(Parts& parts, CallHandle handle, bool may_have_run, TimePoint now, Effects& effects);
+
+}  // namespace sassafras
--- /dev/null
+++ b/libs/core/src/call_state.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include <array>
+#include <cstdint>
+
+#include "base/clock.h"
+#include "base/handle.h"
+#include "core/call_handle.h"
+
+namespace sassafras {
+
+/** One accepted call. */
+struct CallState {
+  enum class Stage : uint8_t { kFree, kWaiting, kRunning, kWaitingForRecord };
+  /** Endpoints remembered as tried; more attempts than that are never made. */
+  static constexpr size_t kMaxAttempts = 4;
+  static constexpr uint32_t kNoRecord = UINT32_MAX;
+
+  uint32_t version = 0;
+  Stage stage = Stage::kFree;
+  uint8_t attempts = 0;
+  /** Attempts whose end was not reported yet. */
+  uint8_t outstanding = 0;
+  bool replayable = true;
+  bool hedged = false;
+  /** Whether an attempt ended without telling whether the request ran. */
+  bool may_have_run = false;
+  PlanHandle plan;
+  uint64_t ticket = 0;
+  uint64_t fingerprint = 0;
+  TimePoint arrived;
+  TimePoint deadline;
+  /** Endpoints of the attempts so far and when each attempt was made. */
+  std::array<EndpointHandle, kMaxAttempts> tried;
+  std::array<TimePoint, kMaxAttempts> dispatched;
+  /** Idempotency record that this call runs for or waits for. */
+  uint32_t record = kNoRecord;
+  /** Next call that waits for the same record. */
+  CallHandle next_waiter;
+};
+
+}  // namespace sassafras
--- /dev/null
+++ b/libs/core/src/calls.cc
@@ -0,0 +1,169 @@
+#include "calls.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "call_end.h"
+#include "dispatch.h"
+#include "parts.h"
+
+namespace sassafras {
+namespace {
+
+using Stage = CallState::Stage;
+using Record = IdempotencyTable::Record;
+
+void Reject(const Event::CallArrived& event, Reason reason, Effects& effects) {
+  effects.push_back(Effect::Reject{event.ticket, reason, {}});
+}
+
+/** Rejects a call before it was accepted, and counts it against its plan. */
+void RejectCounted(Parts& parts, const Event::CallArrived& event, Reason reason, Effects& effects) {
+  CallState call;
+  call.plan = event.plan;
+  const bool not_run = InfoOf(reason).outcome == Outcome::kNotRun;
+  CountOutcome(parts, call, not_run ? &PlanCounters::not_run : &PlanCounters::unknown, event.now);
+  Reject(event, reason, effects);
+}
+
+CallHandle Accept(Parts& parts, const Event::CallArrived& event, Effects& effects) {
+  const CallHandle handle = parts.calls.Add();
+  CallState& call = *parts.calls.Find(handle);
+  call.plan = event.plan;
+  call.ticket = event.ticket;
+  call.fingerprint = event.fingerprint;
+  call.replayable = event.replayable;
+  call.arrived = event.now;
+  const Duration limit = std::min<Duration>(event.limit, parts.At(event.plan).row.deadline);
+  call.deadline = event.now + limit;
+  effects.push_back(Effect::Accepted{event.ticket, handle});
+  return handle;
+}
+
+/** Sends the call on, or lets it wait behind calls that wait already. */
+void StartOrEnqueue(Parts& parts, CallHandle handle, TimePoint now, Effects& effects) {
+  const PlanState& plan = parts.At(parts.calls.Find(handle)->plan);
+  const bool others_wait = !parts.At(plan.service).QueueFor(plan.row.work).Empty();
+  if (others_wait || !TryDispatch(parts, handle, now, effects))
+    Enqueue(parts, handle, now, effects);
+}
+
+/** Admits a call that names another instance as owner of its key. */
+void RejectForeign(Parts& parts, const Event::CallArrived& event, Effects& effects) {
+  const Idempotency& key = event.idempotency;
+  const Membership::Entry* owner = parts.members.Find(key.owner);
+  const bool same = owner != nullptr && owner->member.incarnation == key.owner_incarnation;
+  if (!same) {
+    RejectCounted(parts, event, Reason::kOwnerGone, effects);
+    return;
+  }
+  effects.push_back(Effect::Reject{event.ticket, Reason::kRedirectToOwner, owner->member.address});
+}
+
+/** Handles a call whose key has a record here. */
+void JoinRecord(Parts& parts, const Event::CallArrived& event, uint32_t position, Effects& effects) {
+  Record& record = parts.records.At(position);
+  if (record.stage == Record::Stage::kUnknown) {
+    RejectCounted(parts, event, Reason::kEarlierRunUnknown, effects);
+    return;
+  }
+  if (record.stage == Record::Stage::kAnswered && record.answer == nullptr) {
+    RejectCounted(parts, event, Reason::kAnswerNotKept, effects);
+    return;
+  }
+  if (record.stage == Record::Stage::kAnswered) {
+    effects.push_back(Effect::AnswerRecorded{event.ticket, record.answer});
+    return;
+  }
+  const CallHandle handle = Accept(parts, event, effects);
+  CallState& call = *parts.calls.Find(handle);
+  call.stage = Stage::kWaitingForRecord;
+  call.next_waiter = std::exchange(record.first_waiter, handle);
+}
+
+/**
+ * Decides whether a keyed call may run here.
+ * @return the position of its new record, or kNone if the call was dealt with
+ */
+uint32_t AdmitKeyed(Parts& parts, const Event::CallArrived& event, Effects& effects) {
+  const Idempotency& key = event.idempotency;
+  const uint32_t epoch = parts.EpochAt(event.now);
+  Reason reason = Reason::kRecordsFull;
+  if (key.owner != parts.self.name) {
+    RejectForeign(parts, event, effects);
+    return IdempotencyTable::kNone;
+  }
+  if (key.owner_incarnation != parts.self.incarnation) {
+    RejectCounted(parts, event, Reason::kOwnerGone, effects);
+    return IdempotencyTable::kNone;
+  }
+  if (!IdempotencyTable::IsTokenValid(key.owner_epoch, epoch)) {
+    reason = key.owner_epoch > epoch ? Reason::kBadOwner : Reason::kRecordExpired;
+    RejectCounted(parts, event, reason, effects);
+    return IdempotencyTable::kNone;
+  }
+  const IdempotencyTable::Key record_key{key.key_high, key.key_low};
+  const uint32_t known = parts.records.Find(record_key);
+  if (known != IdempotencyTable::kNone) {
+    JoinRecord(parts, event, known, effects);
+    return IdempotencyTable::kNone;
+  }
+  const uint32_t position = parts.records.Add(record_key, key.owner_epoch);
+  if (position == IdempotencyTable::kNone)
+    RejectCounted(parts, event, reason, effects);
+  return position;
+}
+
+}  // namespace
+
+void OnCallArrived(Parts& parts, const Event::CallArrived& event, Effects& effects) {
+  if (parts.phase == Phase::kStarting) {
+    Reject(event, Reason::kNotReady, effects);
+    return;
+  }
+  if (!event.plan.IsValid() || !parts.At(event.plan).active) {
+    Reject(event, Reason::kNoPlan, effects);
+    return;
+  }
+  PlanState& plan = parts.At(event.plan);
+  if (parts.quarantine.IsQuarantined(event.fingerprint, event.now)) {
+    RejectCounted(parts, event, Reason::kQuarantined, effects);
+    return;
+  }
+  if (plan.candidates.empty()) {
+    RejectCounted(parts, event, Reason::kNoEndpoint, effects);
+    return;
+  }
+  uint32_t record = CallState::kNoRecord;
+  if (event.idempotency.present && plan.row.repeat == Repeat::kNever) {
+    record = AdmitKeyed(parts, event, effects);
+    if (record == IdempotencyTable::kNone)
+      return;
+  }
+  plan.retry_budget.Earn();
+  plan.hedge_budget.Earn();
+  const CallHandle handle = Accept(parts, event, effects);
+  parts.calls.Find(handle)->record = record;
+  StartOrEnqueue(parts, handle, event.now, effects);
+}
+
+void OnCallerGone(Parts& parts, const Event::CallerGone& event, Effects& effects) {
+  CallState* call = parts.calls.Find(event.call);
+  if (call == nullptr)
+    return;
+  if (call->stage == Stage::kWaitingForRecord) {
+    // The record's list of waiters skips calls that have ended only at its head, so this one stays in it.
+    call->ticket = 0;
+    return;
+  }
+  if (call->stage == Stage::kRunning) {
+    // A request that must not be repeated runs to its end: its answer may still be asked for.
+    if (parts.At(call->plan).row.repeat == Repeat::kNever)
+      return;
+    EndCancelled(parts, event.call, true, event.now, effects);
+    return;
+  }
+  EndCancelled(parts, event.call, call->may_have_run, event.now, effects);
+}
+
+}  // namespace sassafras
--- /dev/null
+++ b/libs/core/src/calls.h
@@ -0,0 +1,14 @@
+#pragma once
+
+#include "core/effect.h"
+#include "core/event.h"
+
+namespace sassafras {
+
+struct Parts;
+
+/** Sub-reducers for the admission of calls and for callers that go away. */
+void OnCallArrived(Parts& parts, const Event::CallArrived& event, Effects& effects);
+void OnCallerGone(Parts& parts, const Event::CallerGone& event, Effects& effects);
+
+}  // namespace sassafras
--- /dev/null
+++ b/libs/core/src/control.cc
@@ -0,0 +1,245 @@
+#include "control.h"
+
+#include <algorithm>
+#include <chrono>
+
+#include "base/hash.h"
+#include "dispatch.h"
+#include "endpoint_news.h"
+#include "gossip.h"
+#include "lists/lists.h"
+#include "lists_apply.h"
+#include "parts.h"
+
+namespace sassafras {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr milliseconds kGossipPeriod{250};
+constexpr milliseconds kProbeCheckPeriod{20};
+constexpr seconds kRolePeriod{1};
+/** Silence between ticks from which this process counts as having been paused. */
+constexpr seconds kPauseLimit{1};
+/** How long a resumed instance holds calls back to confirm its lists. */
+constexpr seconds kRevalidateLimit{1};
+/** Instances that watch the store; the others learn from them. */
+constexpr size_t kWatchers = 2;
+/** Instances that try for each probe seat. */
+constexpr size_t kSeatCandidates = 2;
+constexpr uint64_t kWatchPurpose = 0x7761746368;
+constexpr uint64_t kSeatPurpose = 0x73656174;
+/** How often a watcher also reads the store, and how old proof may get before others read it. */
+constexpr seconds kWatcherPollPeriod{1};
+constexpr seconds kStoreStale{6};
+/** Reads a second that all instances together make of a store nobody has news of. */
+constexpr double kFleetPollRate = 8.0;
+constexpr seconds kRestorePeriod{5};
+constexpr seconds kSeatClaimPeriod{2};
+/** Time for word of a leaving instance to reach the others. */
+constexpr seconds kLeaveSpread{2};
+
+void RefreshWatch(Parts& parts, TimePoint now, Effects& effects) {
+  const bool serving = parts.phase != Phase::kClosing;
+  const bool watch = serving && parts.members.RankFor(kWatchPurpose, parts.self_hash, now) < kWatchers;
+  if (watch == parts.lists.watching)
+    return;
+  parts.lists.watching = watch;
+  effects.push_back(Effect::WatchStore{watch});
+}
+
+void Poll(Parts& parts, TimePoint now, Effects& effects) {
+  parts.lists.last_poll = now;
+  effects.push_back(Effect::PollStore{});
+}
+
+/** Reads the store if it is this instance's turn. */
+void RefreshPoll(Parts& parts, TimePoint now, Effects& effects) {
+  const ListsTracker& lists = parts.lists;
+  const bool starting = parts.phase == Phase::kStarting;
+  if (starting || (lists.watching && now - lists.last_poll >= kWatcherPollPeriod)) {
+    Poll(parts, now, effects);
+    return;
+  }
+  if (now - lists.store_confirmed_at < kStoreStale)
+    return;
+  const auto fleet = static_cast<double>(std::max<size_t>(1, parts.members.CountServing(now)));
+  const double chance = kFleetPollRate * std::chrono::duration<double>(kRolePeriod).count() / fleet;
+  if (std::uniform_real_distribution<double>(0.0, 1.0)(parts.random) < chance)
+    Poll(parts, now, effects);
+}
+
+/** Renews the seats held, and tries for those for which this instance comes first. */
+void RefreshSeats(Parts& parts, TimePoint now, Effects& effects) {
+  if (!parts.options.probing || parts.phase != Phase::kServing || now < parts.next_seat_claim)
+    return;
+  parts.next_seat_claim = now + kSeatClaimPeriod;
+  for (uint32_t seat = 0; seat < ProbeSchedule::kSeats; ++seat) {
+    const uint64_t purpose = HashCombine(kSeatPurpose, seat);
+    const bool candidate = parts.members.RankFor(purpose, parts.self_hash, now) < kSeatCandidates;
+    if (candidate || parts.probes.Holds(seat, now))
+      effects.push_back(Effect::ClaimSeat{seat});
+  }
+}
+
+void ReleaseSeats(Parts& parts, TimePoint now, Effects& effects) {
+  for (uint32_t seat = 0; seat < ProbeSchedule::kSeats; ++seat) {
+    if (parts.probes.Holds(seat, now))
+      effects.push_back(Effect::ReleaseSeat{seat});
+    parts.probes.Release(seat);
+  }
+}
+
+void SendDueProbes(Parts& parts, TimePoint now, Effects& effects) {
+  if (!parts.probes.HoldsAny(now))
+    return;
+  for (uint32_t index = 0; index < parts.endpoints.Size(); ++index) {
+    const EndpointHandle endpoint(index);
+    const EndpointState& state = parts.At(endpoint);
+    const uint32_t seat = ProbeSchedule::SeatOf(state.name_hash);
+    if (!state.active || !parts.probes.Holds(seat, now))
+      continue;
+    const Duration interval = ProbeSchedule::IntervalFor(parts.At(state.service).row.probe_budget);
+    if (!parts.probes.TakeDue(endpoint, seat, interval, now, parts.random))
+      continue;
+    ++parts.probes_sent;
+    effects.push_back(Effect::SendProbe{endpoint, parts.probes.ValidUntil(seat)});
+  }
+}
+
+/** After a pause nothing that this instance believes can be trusted until someone confirms it. */
+void OnResumed(Parts& parts, Duration pause, TimePoint now, Effects& effects) {
+  parts.members.AddPause(pause);
+  if (parts.phase == Phase::kStarting)
+    return;
+  parts.lists.revalidate_until = now + kRevalidateLimit;
+  Poll(parts, now, effects);
+  constexpr size_t kPeersAsked = 2;
+  AskPeersForLists(parts, kPeersAsked, effects);
+}
+
+void EndRevalidation(Parts& parts, uint64_t generation) {
+  if (generation <= parts.lists.generation)
+    parts.lists.revalidate_until = {};
+}
+
+void RefreshRoles(Parts& parts, TimePoint now, Effects& effects) {
+  parts.next_role_check = now + kRolePeriod;
+  parts.members.Expire(now);
+  parts.quarantine.Expire(now);
+  parts.rumors.Expire(now);
+  parts.records.Expire(parts.EpochAt(now));
+  parts.endpoints.ReclaimInactive();
+  RefreshWatch(parts, now, effects);
+  RefreshPoll(parts, now, effects);
+  RefreshSeats(parts, now, effects);
+  if (parts.phase == Phase::kStarting)
+    AskPeersForLists(parts, 1, effects);
+}
+
+void CloseIfDue(Parts& parts, TimePoint now, Effects& effects) {
+  if (parts.phase != Phase::kLeaving || now < parts.close_at)
+    return;
+  parts.phase = Phase::kClosing;
+  effects.push_back(Effect::CloseListeners{});
+}
+
+}  // namespace
+
+void OnListsReceived(Parts& parts, const Event::ListsReceived& event, Effects& effects) {
+  if (event.generation <= parts.lists.generation)
+    return;
+  parts.lists.generation = event.generation;
+  ApplyLists(parts, *event.lists, event.now);
+  if (parts.phase == Phase::kStarting)
+    parts.phase = Phase::kServing;
+  parts.lists.revalidate_until = {};
+  for (ServiceState& service : parts.services)
+    PumpQueues(parts, service, event.now, effects);
+  parts.gossip_now = true;
+}
+
+void OnStoreConfirmed(Parts& parts, const Event::StoreConfirmed& event, Effects& effects) {
+  EndRevalidation(parts, event.generation);
+  ListsTracker& lists = parts.lists;
+  if (event.generation <= lists.generation)
+    lists.store_confirmed_at = event.now;
+  const bool older = event.generation < lists.generation;
+  if (!older || !lists.watching || event.now - lists.last_restore < kRestorePeriod)
+    return;
+  lists.last_restore = event.now;
+  effects.push_back(Effect::RestoreLists{lists.generation});
+}
+
+void OnPeerConfirmed(Parts& parts, const Event::PeerConfirmed& event, Effects& /*effects*/) {
+  EndRevalidation(parts, event.generation);
+}
+
+void OnDirectoryReceived(Parts& parts, const Event::DirectoryReceived& event, Effects& /*effects*/) {
+  parts.members.Listed(event.members, event.now);
+  for (const auto& mark : event.endpoints) {
+    const EndpointHandle endpoint = parts.endpoints.FindByHash(Hash64(mark.name));
+    if (!endpoint.IsValid())
+      continue;
+    if (mark.leaving)
+      NoteLeaving(parts, endpoint, mark.incarnation, event.now);
+    else
+      parts.endpoints.SawIncarnation(endpoint, mark.incarnation, event.now);
+  }
+}
+
+void OnProbeEnded(Parts& parts, const Event::ProbeEnded& event, Effects& /*effects*/) {
+  if (event.answered)
+    LearnFromReport(parts, event.endpoint, event.load, event.now);
+}
+
+void OnSeatGranted(Parts& parts, const Event::SeatGranted& event, Effects& effects) {
+  if (parts.phase != Phase::kServing) {
+    effects.push_back(Effect::ReleaseSeat{event.seat});
+    return;
+  }
+  parts.probes.Grant(event.seat, event.valid_until, event.now);
+}
+
+void OnSeatRefused(Parts& parts, const Event::SeatRefused& event, Effects& /*effects*/) {
+  parts.probes.Release(event.seat);
+}
+
+void OnTick(Parts& parts, const Event::Tick& event, Effects& effects) {
+  const TimePoint now = event.now;
+  const bool paused = parts.last_tick != TimePoint() && now - parts.last_tick > kPauseLimit;
+  if (paused)
+    OnResumed(parts, now - parts.last_tick, now, effects);
+  parts.last_tick = now;
+  for (ServiceState& service : parts.services) {
+    ExpireWaiting(parts, service, now, effects);
+    PumpQueues(parts, service, now, effects);
+  }
+  if (parts.gossip_now || now >= parts.next_gossip) {
+    parts.gossip_now = false;
+    parts.next_gossip = now + kGossipPeriod;
+    SendGossipRound(parts, now, effects);
+  }
+  if (now >= parts.next_probe_check) {
+    parts.next_probe_check = now + kProbeCheckPeriod;
+    SendDueProbes(parts, now, effects);
+  }
+  if (now >= parts.next_role_check)
+    RefreshRoles(parts, now, effects);
+  CloseIfDue(parts, now, effects);
+}
+
+void OnStopRequested(Parts& parts, const Event::StopRequested& event, Effects& effects) {
+  if (parts.phase == Phase::kLeaving || parts.phase == Phase::kClosing)
+    return;
+  const bool served = parts.phase == Phase::kServing;
+  parts.phase = Phase::kLeaving;
+  parts.self.leaving = true;
+  // Callers may use an address answer that a peer gave before it heard of the stop.
+  parts.close_at = served ? event.now + kLeaveSpread + parts.options.address_ttl : event.now;
+  ReleaseSeats(parts, event.now, effects);
+  SendGossipRound(parts, event.now, effects);
+}
+
+}  // namespace sassafras
--- /dev/null
+++ b/libs/core/src/control.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include "core/effect.h"
+#include "core/event.h"
+
+namespace sassafras {
+
+struct Parts;
+
+/** Sub-reducers for lists, membership, probing and the life of the instance. */
+void OnListsReceived(Parts& parts, const Event::ListsReceived& event, Effects& effects);
+void OnStoreConfirmed(Parts& parts, const Event::StoreConfirmed& event, Effects& effects);
+void OnPeerConfirmed(Parts& parts, const Event::PeerConfirmed& event, Effects& effects);
+void OnDirectoryReceived(Parts& parts, const Event::DirectoryReceived& event, Effects& effects);
+void OnProbeEnded(Parts& parts, const Event::ProbeEnded& event, Effects& effects);
+void OnSeatGranted(Parts& parts, const Event::SeatGranted& event, Effects& effects);
+void OnSeatRefused(Parts& parts, const Event::SeatRefused& event, Effects& effects);
+void OnTick(Parts& parts, const Event::Tick& event, Effects& effects);
+void OnStopRequested(Parts& parts, const Event::StopRequested& event, Effects& effects);
+
+}  // namespace sassafras
--- /dev/null
+++ b/libs/core/src/dispatch.cc
@@ -0,0 +1,142 @@
+#include "dispatch.h"
+
+#include <algorithm>
+#include <array>
+#include <chrono>
+
+#include "call_end.h"
+#include "parts.h"
+#include "selection.h"
+
+namespace sassafras {
+namespace {
+
+using Stage = CallState::Stage;
+
+/** Calls at the head of a queue that may be passed over because their own endpoints are full. */
+constexpr size_t kMaxPassedOver = 8;
+/** A call is hedged no sooner than this after its dispatch. */
+constexpr std::chrono::milliseconds kMinHedgeDelay{1};
+
+bool IsRevalidating(const Parts& parts, TimePoint now) {
+  return now < parts.lists.revalidate_until;
+}
+
+/** Ends a waiting call whose deadline has passed. */
+void RejectExpired(Parts& parts, const WaitQueue::Entry& entry, TimePoint now, Effects& effects) {
+  const bool ran = parts.calls.Find(entry.call)->may_have_run;
+  EndRejected(parts, entry.call, ran ? Reason::kConnectionBroken : Reason::kDeadlineBeforeStart, now, effects);
+}
+
+void PumpQueue(Parts& parts, ServiceState& service, WaitQueue& queue, TimePoint now, Effects& effects) {
+  std::array<WaitQueue::Entry, kMaxPassedOver> passed;
+  size_t passed_count = 0;
+  while (!queue.Empty() && passed_count < kMaxPassedOver) {
+    const WaitQueue::Entry entry = queue.Top();
+    queue.Pop();
+    const CallState* call = parts.calls.Find(entry.call);
+    if (call == nullptr || call->stage != Stage::kWaiting)
+      continue;
+    if (now >= entry.deadline) {
+      RejectExpired(parts, entry, now, effects);
+      continue;
+    }
+    if (TryDispatch(parts, entry.call, now, effects))
+      service.virtual_time = std::max(service.virtual_time, entry.virtual_finish);
+    else
+      passed[passed_count++] = entry;
+  }
+  for (size_t i = 0; i < passed_count; ++i)
+    queue.Push(passed[i]);
+}
+
+}  // namespace
+
+bool MayHedge(const Parts& parts, const CallState& call, const PlanState& plan) {
+  return parts.options.hedging && plan.row.repeat == Repeat::kSafe && call.replayable && !call.hedged &&
+         plan.p95_us > 0 && call.attempts < CallState::kMaxAttempts;
+}
+
+void Dispatch(Parts& parts, CallHandle handle, EndpointHandle endpoint, TimePoint now, Effects& effects) {
+  CallState& call = *parts.calls.Find(handle);
+  const PlanState& plan = parts.At(call.plan);
+  EndpointState& state = parts.At(endpoint);
+  if (state.in_flight == 0)
+    state.progress_at = now;
+  ++state.in_flight;
+  call.tried[call.attempts] = endpoint;
+  call.dispatched[call.attempts] = now;
+  ++call.attempts;
+  ++call.outstanding;
+  call.stage = Stage::kRunning;
+  TimePoint hedge_at = TimePoint::max();
+  if (MayHedge(parts, call, plan)) {
+    const auto p95 = std::chrono::microseconds(static_cast<int64_t>(plan.p95_us));
+    hedge_at = now + std::max<Duration>(p95, kMinHedgeDelay);
+  }
+  const bool keep = call.record != CallState::kNoRecord;
+  effects.push_back(Effect::Dispatch{call.ticket, handle, endpoint, call.deadline, hedge_at, keep});
+}
+
+bool TryDispatch(Parts& parts, CallHandle handle, TimePoint now, Effects& effects) {
+  CallState& call = *parts.calls.Find(handle);
+  if (IsRevalidating(parts, now))
+    return false;
+  Selector selector(parts, parts.At(call.plan), call, now);
+  const EndpointHandle endpoint = selector.Choose(parts.options.selection);
+  if (!endpoint.IsValid())
+    return false;
+  Dispatch(parts, handle, endpoint, now, effects);
+  return true;
+}
+
+void Enqueue(Parts& parts, CallHandle handle, TimePoint now, Effects& effects) {
+  CallState& call = *parts.calls.Find(handle);
+  PlanState& plan = parts.At(call.plan);
+  ServiceState& service = parts.At(plan.service);
+  WaitQueue& queue = service.QueueFor(plan.row.work);
+  if (queue.Size() >= parts.options.queue_limit) {
+    const auto evicted = queue.EvictBelow(plan.row.priority);
+    if (!evicted.has_value()) {
+      EndRejected(parts, handle, Reason::kOverloaded, now, effects);
+      return;
+    }
+    if (parts.calls.Find(evicted->call) != nullptr)
+      EndRejected(parts, evicted->call, Reason::kOverloaded, now, effects);
+  }
+  call.stage = Stage::kWaiting;
+  plan.virtual_finish = std::max(plan.virtual_finish, service.virtual_time) + 1.0 / plan.row.share;
+  queue.Push({plan.row.priority, plan.virtual_finish, call.deadline, handle});
+}
+
+void PumpQueues(Parts& parts, ServiceState& service, TimePoint now, Effects& effects) {
+  for (WaitQueue& queue : service.queues) {
+    if (!queue.Empty())
+      PumpQueue(parts, service, queue, now, effects);
+  }
+}
+
+void ExpireWaiting(Parts& parts, ServiceState& service, TimePoint now, Effects& effects) {
+  for (WaitQueue& queue : service.queues) {
+    queue.RemoveIf([&](const WaitQueue::Entry& entry) {
+      const CallState* call = parts.calls.Find(entry.call);
+      if (call == nullptr || call->stage != Stage::kWaiting)
+        return true;
+      if (now < entry.deadline)
+        return false;
+      RejectExpired(parts, entry, now, effects);
+      return true;
+    });
+  }
+}
+
+size_t CountWaiting(const Parts& parts) {
+  size_t count = 0;
+  for (const ServiceState& service : parts.services) {
+    for (const WaitQueue& queue : service.queues)
+      count += queue.Size();
+  }
+  return count;
+}
+
+}  // namespace sassafras
--- /dev/null
+++ b/libs/core/src/dispatch.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include <cstddef>
+
+#include "base/clock.h"
+#include "base/handle.h"
+#include "core/call_handle.h"
+#include "core/effect.h"
+
+namespace sassafras {
+
+struct CallState;
+struct Parts;
+struct PlanState;
+struct ServiceState;
+
+/** Whether a second attempt may be made while the first one runs, apart from its budget. */
+bool MayHedge(const Parts& parts, const CallState& call, const PlanState& plan);
+
+/** Makes an attempt of the call at the endpoint. */
+void Dispatch(Parts& parts, CallHandle handle, EndpointHandle endpoint, TimePoint now, Effects& effects);
+
+/** Makes an attempt of the call if an endpoint has room; returns whether it did. */
+bool TryDispatch(Parts& parts, CallHandle handle, TimePoint now, Effects& effects);
+
+/** Lets the call wait for an endpoint; a full queue drops its least urgent call. */
+void Enqueue(Parts& parts, CallHandle handle, TimePoint now, Effects& effects);
+
+/** Sends waiting calls of the service on while endpoints have room. */
+void PumpQueues(Parts& parts, ServiceState& service, TimePoint now, Effects& effects);
+
+/** Rejects waiting calls whose deadline has passed. */
+void ExpireWaiting(Parts& parts, ServiceState& service, TimePoint now, Effects& effects);
+
+/** Number of calls that wait for an endpoint. */
+size_t CountWaiting(const Parts& parts);
+
+}  // namespace sassafras
--- /dev/null
+++ b/libs/core/src/endpoint_news.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include <cstdint>
+
+#include "base/clock.h"
+#include "base/handle.h"
+#include "core/gossip_message.h"
+#include "core/load_report.h"
+
+namespace sassafras {
+
+struct Parts;
+
+/** Moves an exponential average towards `sample`; 0 stands for no sample yet. */
+void UpdateAverage(float& average, float sample);
+
+/** Takes in a load report of an endpoint, with the incarnation and drain mark that it carries. */
+void LearnFromReport(Parts& parts, EndpointHandle endpoint, const LoadReport& load, TimePoint now);
+
+/** Takes in that an incarnation of an endpoint leaves, and spreads it if that is new. */
+void NoteLeaving(Parts& parts, EndpointHandle endpoint, uint64_t incarnation, TimePoint now);
+
+/** Adds a fact to the rumours and asks for a gossip round at once if it is new. */
+void SpreadRumor(Parts& parts, const GossipMessage::Rumor& rumor, TimePoint now);
+
+}  // namespace sassafras
--- /dev/null
+++ b/libs/core/src/endpoint_state.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include <cstdint>
+
+#include "base/clock.h"
+#include "base/handle.h"
+
+namespace sassafras {
+
+/** Hot state of one endpoint as this instance sees it. */
+struct EndpointState {
+  /** Calls of this instance in progress there. */
+  uint32_t in_flight = 0;
+  uint32_t slots = 1;
+  /** Connections this instance may hold to the endpoint. */
+  uint32_t connection_limit = 1;
+  /** Load of the last report, and how much of it was ours. */
+  uint32_t reported = 0;
+  uint32_t own_at_report = 0;
+  /** Moving average of answer latency; 0 before the first answer. */
+  float latency_us = 0;
+  uint16_t consecutive_failures = 0;
+  uint8_t ejections = 0;
+  /** Whether the row is in the lists now. */
+  bool active = false;
+  bool leaving = false;
+  /** Whether long work may go here; see docs/design/lanes.md. */
+  bool long_lane = false;
+  bool same_domain = false;
+  ServiceHandle service;
+  TimePoint reported_at{};
+  /** Last answer or first dispatch while calls are in progress. */
+  TimePoint progress_at{};
+  TimePoint ramp_start{};
+  TimePoint ejected_until{};
+  uint64_t name_hash = 0;
+  /** Newest incarnation seen, and the newest one known to leave. */
+  uint64_t incarnation = 0;
+  uint64_t leaving_incarnation = 0;
+};
+
+}  // namespace sassafras
--- /dev/null
+++ b/libs/core/src/endpoint_table.cc
@@ -0,0 +1,103 @@
+#include "endpoint_table.h"
+
+#include <algorithm>
+
+#include "base/hash.h"
+
+namespace sassafras {
+
+EndpointHandle EndpointTable::Upsert(const Endpoint& row, ServiceHandle service, TimePoint now, bool ramp) {
+  const uint64_t name_hash = Hash64(row.name);
+  EndpointHandle handle = FindByHash(name_hash);
+  // A row that now names another address is another endpoint: nothing learned of the old one holds.
+  const bool moved = handle.IsValid() && Row(handle).address != row.address;
+  if (moved) {
+    m_by_hash.erase(name_hash);
+    m_states[handle.Index()].name_hash = 0;
+    handle = EndpointHandle();
+  }
+  if (!handle.IsValid()) {
+    if (m_free.empty()) {
+      handle = EndpointHandle(static_cast<uint32_t>(m_states.size()));
+      m_states.emplace_back();
+      m_rows.emplace_back();
+    } else {
+      handle = m_free.back();
+      m_free.pop_back();
+      m_states[handle.Index()] = EndpointState();
+    }
+    m_by_hash.emplace(name_hash, handle);
+    EndpointState& state = m_states[handle.Index()];
+    state.name_hash = name_hash;
+    if (ramp)
+      state.ramp_start = now;
+  }
+  EndpointState& state = m_states[handle.Index()];
+  state.active = true;
+  state.slots = row.slots;
+  state.service = service;
+  m_rows[handle.Index()] = row;
+  return handle;
+}
+
+void EndpointTable::DeactivateAll() {
+  for (EndpointState& state : m_states)
+    state.active = false;
+}
+
+void EndpointTable::ReclaimInactive() {
+  for (uint32_t index = 0; index < m_states.size(); ++index) {
+    EndpointState& state = m_states[index];
+    const bool retired = !state.active && state.in_flight == 0 && state.service.IsValid();
+    if (!retired)
+      continue;
+    if (state.name_hash != 0)
+      m_by_hash.erase(state.name_hash);
+    state = EndpointState();
+    m_free.emplace_back(index);
+  }
+}
+
+EndpointHandle EndpointTable::FindByHash(uint64_t name_hash) const {
+  const auto found = m_by_hash.find(name_hash);
+  return found == m_by_hash.end() ? EndpointHandle() : found->second;
+}
+
+bool EndpointTable::MarkLeaving(EndpointHandle handle, uint64_t incarnation) {
+  EndpointState& state = m_states[handle.Index()];
+  const uint64_t leaving = incarnation == 0 ? state.incarnation : incarnation;
+  if (leaving < state.incarnation)
+    return false;
+  const bool fresh = !state.leaving || leaving > state.leaving_incarnation;
+  state.leaving = true;
+  state.leaving_incarnation = std::max(state.leaving_incarnation, leaving);
+  state.incarnation = std::max(state.incarnation, leaving);
+  return fresh;
+}
+
+void EndpointTable::SawIncarnation(EndpointHandle handle, uint64_t incarnation, TimePoint now) {
+  EndpointState& state = m_states[handle.Index()];
+  if (incarnation <= state.incarnation)
+    return;
+  // The first incarnation that is ever seen of an endpoint is no restart.
+  const bool restarted = state.incarnation != 0;
+  state.incarnation = incarnation;
+  if (!restarted)
+    return;
+  state.leaving = false;
+  state.ramp_start = now;
+  state.consecutive_failures = 0;
+  state.ejected_until = {};
+  state.latency_us = 0;
+}
+
+void EndpointTable::ApplyReport(EndpointHandle handle, const LoadReport& report, TimePoint now) {
+  if (!report.present)
+    return;
+  EndpointState& state = m_states[handle.Index()];
+  state.reported = report.in_flight;
+  state.own_at_report = state.in_flight;
+  state.reported_at = now;
+}
+
+}  // namespace sassafras
--- /dev/null
+++ b/libs/core/src/gossip.cc
@@ -0,0 +1,177 @@
+#include "gossip.h"
+
+#include <algorithm>
+#include <chrono>
+#include <memory>
+#include <string>
+#include <utility>
+
+#include "core/gossip_message.h"
+#include "endpoint_news.h"
+#include "parts.h"
+
+namespace sassafras {
+namespace {
+
+using std::chrono::duration_cast;
+using std::chrono::milliseconds;
+
+/** Peers told in one round. */
+constexpr size_t kFanout = 2;
+constexpr size_t kRumorsPerMessage = 8;
+constexpr size_t kMembersPerMessage = 3;
+constexpr size_t kLoadsPerMessage = 8;
+/** One round in this many goes to a peer that has been silent, so that parted regions find each other. */
+constexpr uint64_t kSilentPeerRounds = 8;
+/** Lists are asked for at most this often. */
+constexpr milliseconds kFetchPeriod{200};
+/** Load reports older than this are not passed on. */
+constexpr milliseconds kMaxLoadAge{200};
+/** Own reports younger than this are not replaced by a peer's. */
+constexpr milliseconds kOwnReportFresh{100};
+
+const Membership::Entry* RandomPeer(Parts& parts, bool alive, TimePoint now) {
+  const auto& entries = parts.members.All();
+  if (entries.empty())
+    return nullptr;
+  const size_t start = parts.random() % entries.size();
+  for (size_t step = 0; step < entries.size(); ++step) {
+    const Membership::Entry& entry = entries[(start + step) % entries.size()];
+    const bool self = entry.member.name == parts.self.name;
+    if (!self && parts.members.IsAlive(entry, now) == alive)
+      return &entry;
+  }
+  return nullptr;
+}
+
+std::string RandomPeerAddress(Parts& parts, TimePoint now) {
+  const bool ask_silent = parts.random() % kSilentPeerRounds == 0;
+  const Membership::Entry* peer = RandomPeer(parts, !ask_silent, now);
+  if (peer == nullptr)
+    peer = RandomPeer(parts, ask_silent, now);
+  if (peer != nullptr)
+    return peer->member.peer_address;
+  const auto& seeds = parts.options.seed_peers;
+  return seeds.empty() ? std::string() : seeds[parts.random() % seeds.size()];
+}
+
+void AddMembers(Parts& parts, TimePoint now, GossipMessage& message) {
+  const auto& entries = parts.members.All();
+  const size_t start = entries.empty() ? 0 : parts.random() % entries.size();
+  for (size_t step = 0; step < entries.size() && message.members.size() < kMembersPerMessage; ++step) {
+    const Membership::Entry& entry = entries[(start + step) % entries.size()];
+    if (parts.members.IsAlive(entry, now) && entry.member.incarnation != 0)
+      message.members.push_back(entry.member);
+  }
+}
+
+void AddLoads(Parts& parts, TimePoint now, GossipMessage& message) {
+  const size_t count = parts.endpoints.Size();
+  const size_t start = count == 0 ? 0 : parts.random() % count;
+  // Looks at a bounded number of endpoints, whatever the size of the lists.
+  constexpr size_t kLooks = 4 * kLoadsPerMessage;
+  for (size_t step = 0; step < std::min(count, kLooks) && message.loads.size() < kLoadsPerMessage; ++step) {
+    const EndpointState& state = parts.At(EndpointHandle(static_cast<uint32_t>((start + step) % count)));
+    if (!state.active || now - state.reported_at > kMaxLoadAge)
+      continue;
+    message.loads.push_back({state.name_hash, state.reported, duration_cast<milliseconds>(now - state.reported_at)});
+  }
+}
+
+std::shared_ptr<GossipMessage> MakeMessage(Parts& parts, TimePoint now) {
+  auto message = std::make_shared<GossipMessage>();
+  message->sender = parts.self;
+  message->generation = parts.lists.generation;
+  message->store_age = duration_cast<milliseconds>(now - parts.lists.store_confirmed_at);
+  parts.rumors.Pick(kRumorsPerMessage, now, parts.random, message->rumors);
+  AddMembers(parts, now, *message);
+  AddLoads(parts, now, *message);
+  return message;
+}
+
+void ApplyRumor(Parts& parts, const GossipMessage::Rumor& rumor, TimePoint now) {
+  using Kind = GossipMessage::Rumor::Kind;
+  switch (rumor.kind) {
+    case Kind::kLeaving: {
+      const EndpointHandle endpoint = parts.endpoints.FindByHash(rumor.subject);
+      if (endpoint.IsValid())
+        parts.endpoints.MarkLeaving(endpoint, rumor.detail);
+      break;
+    }
+    case Kind::kSuspect:
+      parts.quarantine.Suspect(rumor.subject, rumor.detail, now);
+      break;
+    case Kind::kQuarantine:
+      parts.quarantine.Add(rumor.subject, now + rumor.lifetime);
+      break;
+  }
+  SpreadRumor(parts, rumor, now);
+}
+
+void ApplyLoad(Parts& parts, const GossipMessage::EndpointLoad& load, TimePoint now) {
+  const EndpointHandle endpoint = parts.endpoints.FindByHash(load.endpoint);
+  if (!endpoint.IsValid())
+    return;
+  EndpointState& state = parts.At(endpoint);
+  const TimePoint reported_at = now - load.age;
+  if (now - state.reported_at < kOwnReportFresh || reported_at <= state.reported_at)
+    return;
+  state.reported = load.in_flight;
+  state.own_at_report = state.in_flight;
+  state.reported_at = reported_at;
+}
+
+}  // namespace
+
+void OnGossipReceived(Parts& parts, const Event::GossipReceived& event, Effects& effects) {
+  const GossipMessage& message = event.message;
+  if (message.sender.name == parts.self.name)
+    return;
+  parts.members.Heard(message.sender, event.now);
+  for (const Member& member : message.members) {
+    if (member.name != parts.self.name)
+      parts.members.Heard(member, event.now);
+  }
+  for (const GossipMessage::Rumor& rumor : message.rumors)
+    ApplyRumor(parts, rumor, event.now);
+  for (const GossipMessage::EndpointLoad& load : message.loads)
+    ApplyLoad(parts, load, event.now);
+  ListsTracker& lists = parts.lists;
+  if (message.generation > lists.generation && event.now - lists.last_fetch >= kFetchPeriod) {
+    lists.last_fetch = event.now;
+    effects.push_back(Effect::FetchLists{message.sender.peer_address});
+  }
+  // The proof speaks of the sender's generation, so it holds for a generation that is no lower.
+  if (message.generation <= lists.generation)
+    lists.store_confirmed_at = std::max(lists.store_confirmed_at, event.now - message.store_age);
+}
+
+void SendGossipRound(Parts& parts, TimePoint now, Effects& effects) {
+  ++parts.self.heartbeat;
+  parts.self.epoch = parts.EpochAt(now);
+  parts.members.Heard(parts.self, now);
+  std::shared_ptr<const GossipMessage> message = MakeMessage(parts, now);
+  for (size_t i = 0; i < kFanout; ++i) {
+    std::string address = RandomPeerAddress(parts, now);
+    if (!address.empty())
+      effects.push_back(Effect::SendGossip{std::move(address), message});
+  }
+}
+
+void AskPeersForLists(Parts& parts, size_t count, Effects& effects) {
+  const auto& entries = parts.members.All();
+  const auto& seeds = parts.options.seed_peers;
+  size_t asked = 0;
+  const size_t start = entries.empty() ? 0 : parts.random() % entries.size();
+  for (size_t step = 0; step < entries.size() && asked < count; ++step) {
+    const Member& member = entries[(start + step) % entries.size()].member;
+    if (member.name == parts.self.name)
+      continue;
+    effects.push_back(Effect::FetchLists{member.peer_address});
+    ++asked;
+  }
+  for (size_t i = 0; i < seeds.size() && asked < count; ++i, ++asked)
+    effects.push_back(Effect::FetchLists{seeds[i]});
+}
+
+}  // namespace sassafras
--- /dev/null
+++ b/libs/core/src/gossip.h
@@ -0,0 +1,20 @@
+#pragma once
+
+#include "base/clock.h"
+#include "core/effect.h"
+#include "core/event.h"
+
+namespace sassafras {
+
+struct Parts;
+
+/** Sub-reducer for a datagram of a peer. */
+void OnGossipReceived(Parts& parts, const Event::GossipReceived& event, Effects& effects);
+
+/** Sends this instance's news to a fixed number of peers. */
+void SendGossipRound(Parts& parts, TimePoint now, Effects& effects);
+
+/** Asks `count` random peers whether they hold newer lists. */
+void AskPeersForLists(Parts& parts, size_t count, Effects& effects);
+
+}  // namespace sassafras
--- /dev/null
+++ b/libs/core/src/lists_apply.cc
@@ -0,0 +1,129 @@
+#include "lists_apply.h"
+
+#include <algorithm>
+#include <string>
+
+#include <absl/container/flat_hash_set.h>
+
+#include "base/hash.h"
+#include "lists/lists.h"
+#include "parts.h"
+
+namespace sassafras {
+namespace {
+
+/** Endpoints of one service that an instance uses at most. */
+constexpr size_t kSubsetSize = 24;
+constexpr uint64_t kLaneSeed = 0x6c616e65;
+constexpr uint64_t kSubsetSeed = 0x737562;
+
+template <typename Table, typename Handle>
+Handle FindOrAddRow(Table& table, const std::string& name, Handle /*tag*/) {
+  const auto found =
+      std::find_if(table.begin(), table.end(), [&](const auto& state) { return state.row.name == name; });
+  const auto index = static_cast<uint32_t>(found - table.begin());
+  if (found == table.end())
+    table.emplace_back();
+  return Handle(index);
+}
+
+void ApplyServices(Parts& parts, const Lists& lists) {
+  for (ServiceState& service : parts.services) {
+    service.active = false;
+    service.endpoints.clear();
+  }
+  for (const Service& row : lists.services) {
+    const ServiceHandle handle = FindOrAddRow(parts.services, row.name, ServiceHandle());
+    parts.At(handle).row = row;
+    parts.At(handle).active = true;
+  }
+}
+
+ServiceHandle FindService(const Parts& parts, const std::string& name) {
+  for (uint32_t index = 0; index < parts.services.size(); ++index) {
+    if (parts.services[index].active && parts.services[index].row.name == name)
+      return ServiceHandle(index);
+  }
+  return {};
+}
+
+void ApplyEndpoints(Parts& parts, const Lists& lists, TimePoint now) {
+  // Endpoints of the first lists have served before this instance started.
+  const bool ramp = parts.phase != Phase::kStarting;
+  absl::flat_hash_map<std::string, ServiceHandle> services;
+  for (const Service& row : lists.services)
+    services.emplace(row.name, FindService(parts, row.name));
+  parts.endpoints.DeactivateAll();
+  for (const Endpoint& row : lists.endpoints) {
+    const ServiceHandle service = services.at(row.service);
+    const EndpointHandle handle = parts.endpoints.Upsert(row, service, now, ramp);
+    EndpointState& state = parts.At(handle);
+    state.same_domain = row.failure_domain == parts.self.failure_domain;
+    state.connection_limit = std::max(1u, row.connections / parts.options.fleet_limit);
+    parts.At(service).endpoints.push_back(handle);
+  }
+}
+
+/**
+ * Chooses the endpoints that long work may use: the same ones on every instance, because the order
+ * depends on names alone.
+ */
+void AssignLongLane(Parts& parts, ServiceState& service) {
+  std::vector<EndpointHandle> order = service.endpoints;
+  std::sort(order.begin(), order.end(), [&](EndpointHandle a, EndpointHandle b) {
+    return HashCombine(kLaneSeed, parts.At(a).name_hash) < HashCombine(kLaneSeed, parts.At(b).name_hash);
+  });
+  const auto share = static_cast<size_t>(static_cast<double>(order.size()) * service.row.long_share / 100.0);
+  const size_t count = std::min(order.size(), std::max<size_t>(1, share));
+  for (size_t i = 0; i < order.size(); ++i)
+    parts.At(order[i]).long_lane = i < count;
+}
+
+/** Keeps the kSubsetSize endpoints that come first for this instance in rendezvous order. */
+void KeepSubset(Parts& parts, std::vector<EndpointHandle>& candidates) {
+  if (candidates.size() <= kSubsetSize)
+    return;
+  const uint64_t seed = HashCombine(kSubsetSeed, parts.self_hash);
+  std::sort(candidates.begin(), candidates.end(), [&](EndpointHandle a, EndpointHandle b) {
+    return HashCombine(seed, parts.At(a).name_hash) < HashCombine(seed, parts.At(b).name_hash);
+  });
+  candidates.resize(kSubsetSize);
+}
+
+void ApplyPlan(Parts& parts, const Plan& row) {
+  PlanState& plan = parts.At(FindOrAddRow(parts.plans, row.name, PlanHandle()));
+  plan.row = row;
+  plan.active = true;
+  plan.service = FindService(parts, row.service);
+  if (plan.ring == nullptr)
+    plan.ring = std::make_unique<BurnRing>();
+  plan.candidates.clear();
+  const absl::flat_hash_set<std::string> permitted(row.endpoints.begin(), row.endpoints.end());
+  for (const EndpointHandle handle : parts.At(plan.service).endpoints) {
+    const bool named = permitted.empty() || permitted.contains(parts.endpoints.Row(handle).name);
+    const bool lane = row.work == Work::kShort || parts.At(handle).long_lane;
+    if (named && lane)
+      plan.candidates.push_back(handle);
+  }
+  KeepSubset(parts, plan.candidates);
+}
+
+}  // namespace
+
+void ApplyLists(Parts& parts, const Lists& lists, TimePoint now) {
+  ApplyServices(parts, lists);
+  ApplyEndpoints(parts, lists, now);
+  for (ServiceState& service : parts.services)
+    AssignLongLane(parts, service);
+  for (PlanState& plan : parts.plans)
+    plan.active = false;
+  for (const Plan& row : lists.plans)
+    ApplyPlan(parts, row);
+  for (PlanState& plan : parts.plans) {
+    if (!plan.active)
+      plan.candidates.clear();
+  }
+  parts.endpoints.ReclaimInactive();
+}
+
+}  // namespace sassafras
--- /dev/null
+++ b/libs/core/src/lists_tracker.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include <cstdint>
+
+#include "base/clock.h"
+
+namespace sassafras {
+
+/** What this instance knows of the generation of lists in force. */
+struct ListsTracker {
+  uint64_t generation = 0;
+  /** Newest proof, seen here or by a peer, that the store held no higher generation. */
+  TimePoint store_confirmed_at{};
+  TimePoint last_poll{};
+  TimePoint last_fetch{};
+  TimePoint last_restore{};
+  bool watching = false;
+  /** Calls wait until the generation is confirmed or this time has passed. */
+  TimePoint revalidate_until{};
+};
+
+}  // namespace sassafras
--- /dev/null
+++ b/libs/core/src/membership.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "base/clock.h"
+#include "core/member.h"
+
+namespace sassafras {
+
+/** Entry instances known from the platform's list and from gossip; both lag and may be wrong. */
+class Membership {
+ public:
+  /** An instance whose heartbeat has not advanced for this long is not handed to callers. */
+  static constexpr std::chrono::seconds kSilentAfter{5};
+  /** A silent instance that the platform no longer lists is forgotten after this long. */
+  static constexpr std::chrono::hours kForgetAfter{2};
+
+  struct Entry {
+    Member member;
+    uint64_t name_hash = 0;
+    /** When the heartbeat last advanced here. */
+    TimePoint heard_at;
+    bool listed = false;
+    /** State in the platform's list, to see when it changes. */
+    bool listed_leaving = false;
+  };
+
+  /** Takes in what a member says of itself or a peer says of it. */
+  void Heard(const Member& member, TimePoint now);
+  /** Takes in the platform's list. */
+  void Listed(const std::vector<Member>& members, TimePoint now);
+  /** Forgets members that are neither listed nor heard of. */
+  void Expire(TimePoint now);
+  /** After a pause of this process: nobody could be heard meanwhile. */
+  void AddPause(Duration pause);
+
+  bool IsAlive(const Entry& entry, TimePoint now) const { return now - entry.heard_at < kSilentAfter; }
+  const std::vector<Entry>& All() const { return m_entries; }
+  /** Returns the member of that name, or null. */
+  const Entry* Find(std::string_view name) const;
+  /** Number of members that are alive and stay. */
+  size_t CountServing(TimePoint now) const;
+  /**
+   * Position of `self` among serving members in the rendezvous order of `purpose`; all instances with the
+   * same view agree on it, and one member's coming or going moves others by one at most.
+   */
+  size_t RankFor(uint64_t purpose, uint64_t self_hash, TimePoint now) const;
+
+ private:
+  Entry& FindOrAdd(const Member& member, TimePoint now);
+  std::vector<Entry> m_entries;
+};
+
+}  // namespace sassafras
--- /dev/null
+++ b/libs/core/src/parts.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include <random>
+#include <vector>
+
+#include <absl/container/flat_hash_map.h>
+
+#include "call_table.h"
+#include "core/state.h"
+#include "core/state_options.h"
+#include "endpoint_table.h"
+#include "idempotency_table.h"
+#include "lists_tracker.h"
+#include "membership.h"
+#include "plan_state.h"
+#include "probe_schedule.h"
+#include "quarantine.h"
+#include "rumor_board.h"
+#include "service_state.h"
+
+namespace sassafras {
+
+/** The parts of State, one for each matter. */
+struct Parts {
+  explicit Parts(const StateOptions& options_in);
+
+  PlanState& At(PlanHandle handle) { return plans[handle.Index()]; }
+  ServiceState& At(ServiceHandle handle) { return services[handle.Index()]; }
+  EndpointState& At(EndpointHandle handle) { return endpoints[handle]; }
+  /** Epoch of this instance's idempotency tokens. */
+  uint32_t EpochAt(TimePoint now) const;
+
+  StateOptions options;
+  std::mt19937_64 random;
+  uint64_t self_hash = 0;
+  Member self;
+  Phase phase = Phase::kStarting;
+  /** When a leaving instance closes its listeners. */
+  TimePoint close_at{};
+
+  std::vector<PlanState> plans;
+  std::vector<ServiceState> services;
+  EndpointTable endpoints;
+  CallTable calls;
+  IdempotencyTable records;
+  Quarantine quarantine;
+  ListsTracker lists;
+  Membership members;
+  RumorBoard rumors;
+  ProbeSchedule probes;
+  uint64_t probes_sent = 0;
+  /** Whether a new fact waits to be sent before the next gossip round. */
+  bool gossip_now = false;
+
+  TimePoint last_tick{};
+  TimePoint next_gossip{};
+  TimePoint next_probe_check{};
+  TimePoint next_role_check{};
+  TimePoint next_seat_claim{};
+};
+
+}  // namespace sassafras
--- /dev/null
+++ b/libs/core/src/reducer.cc
@@ -0,0 +1,41 @@
+#include "core/reducer.h"
+
+#include <variant>
+
+#include "attempts.h"
+#include "calls.h"
+#include "control.h"
+#include "gossip.h"
+#include "parts.h"
+
+namespace sassafras {
+namespace {
+
+/** Sends each kind of event to its sub-reducer. */
+struct Router {
+  Parts& parts;
+  Effects& effects;
+
+  void operator()(const Event::ListsReceived& event) { OnListsReceived(parts, event, effects); }
+  void operator()(const Event::StoreConfirmed& event) { OnStoreConfirmed(parts, event, effects); }
+  void operator()(const Event::PeerConfirmed& event) { OnPeerConfirmed(parts, event, effects); }
+  void operator()(const Event::DirectoryReceived& event) { OnDirectoryReceived(parts, event, effects); }
+  void operator()(const Event::GossipReceived& event) { OnGossipReceived(parts, event, effects); }
+  void operator()(const Event::CallArrived& event) { OnCallArrived(parts, event, effects); }
+  void operator()(const Event::CallerGone& event) { OnCallerGone(parts, event, effects); }
+  void operator()(const Event::HedgeDue& event) { OnHedgeDue(parts, event, effects); }
+  void operator()(const Event::AttemptEnded& event) { OnAttemptEnded(parts, event, effects); }
+  void operator()(const Event::ProbeEnded& event) { OnProbeEnded(parts, event, effects); }
+  void operator()(const Event::SeatGranted& event) { OnSeatGranted(parts, event, effects); }
+  void operator()(const Event::SeatRefused& event) { OnSeatRefused(parts, event, effects); }
+  void operator()(const Event::Tick& event) { OnTick(parts, event, effects); }
+  void operator()(const Event::StopRequested& event) { OnStopRequested(parts, event, effects); }
+};
+
+}  // namespace
+
+void Reduce(State& state, const Event::Any& event, Effects& effects) {
+  std::visit(Router{state.MutableParts(), effects}, event);
+}
+
+}  // namespace sassafras
--- /dev/null
+++ b/libs/core/src/rumor_board.cc
@@ -0,0 +1,52 @@
+#include "rumor_board.h"
+
+#include <algorithm>
+
+namespace sassafras {
+
+using std::chrono::milliseconds;
+
+bool RumorBoard::Add(const GossipMessage::Rumor& rumor, TimePoint now) {
+  const TimePoint until = now + rumor.lifetime;
+  const auto known = std::find_if(m_rumors.begin(), m_rumors.end(), [&](const Entry& entry) {
+    return entry.rumor.kind == rumor.kind && entry.rumor.subject == rumor.subject && entry.rumor.detail == rumor.detail;
+  });
+  if (known != m_rumors.end() || rumor.lifetime <= milliseconds::zero())
+    return false;
+  if (m_rumors.size() >= kMaxRumors) {
+    const auto oldest = std::min_element(m_rumors.begin(), m_rumors.end(),
+                                         [](const Entry& a, const Entry& b) { return a.until < b.until; });
+    m_rumors.erase(oldest);
+  }
+  m_rumors.push_back({rumor, until, kEagerSends});
+  return true;
+}
+
+void RumorBoard::Append(const Entry& entry, TimePoint now, std::vector<GossipMessage::Rumor>& out) {
+  GossipMessage::Rumor rumor = entry.rumor;
+  rumor.lifetime = std::chrono::duration_cast<milliseconds>(entry.until - now);
+  if (rumor.lifetime > milliseconds::zero())
+    out.push_back(rumor);
+}
+
+void RumorBoard::Pick(size_t count, TimePoint now, std::mt19937_64& random, std::vector<GossipMessage::Rumor>& out) {
+  const size_t limit = out.size() + count;
+  for (Entry& entry : m_rumors) {
+    if (out.size() == limit)
+      return;
+    if (entry.eager_sends == 0)
+      continue;
+    --entry.eager_sends;
+    Append(entry, now, out);
+  }
+  if (m_rumors.empty())
+    return;
+  // One older fact in each message reaches instances that were cut off while it was new.
+  Append(m_rumors[random() % m_rumors.size()], now, out);
+}
+
+void RumorBoard::Expire(TimePoint now) {
+  std::erase_if(m_rumors, [now](const Entry& entry) { return entry.until <= now; });
+}
+
+}  // namespace sassafras
--- /dev/null
+++ b/libs/core/src/selection.cc
@@ -0,0 +1,222 @@
+#include "selection.h"
+
+#include <algorithm>
+#include <array>
+#include <chrono>
+#include <limits>
+#include <utility>
+
+#include "parts.h"
+
+namespace sassafras {
+namespace {
+
+using FloatMicros = std::chrono::duration<float, std::micro>;
+
+/** Candidates looked at for one choice. */
+constexpr size_t kSamples = 5;
+/** Random draws for an eligible candidate before the candidates are searched in order. */
+constexpr int kDraws = 4;
+/** Age at which a report counts half. */
+constexpr FloatMicros kReportHalfAge = std::chrono::milliseconds(50);
+/** A report older than this does not make an endpoint full. */
+constexpr std::chrono::milliseconds kReportFresh{100};
+/** Share of slots in use from which an endpoint is hot. */
+constexpr float kHotShare = 0.8F;
+/** Time in which an endpoint that came back is brought to full load, and the share it starts with. */
+constexpr FloatMicros kRampLength = std::chrono::seconds(10);
+constexpr float kRampStart = 0.2F;
+/** Added to the score of endpoints in another failure domain. */
+constexpr float kRemotePenalty = 0.15F;
+/** Calls running longer than this multiple of the service's mean make the endpoint look slow. */
+constexpr float kOverdue = 3.0F;
+constexpr float kMinRelativeLatency = 0.5F;
+constexpr float kMaxRelativeLatency = 8.0F;
+/** Score above that of every cold endpoint. */
+constexpr float kHotOffset = 1'000.0F;
+
+constexpr std::array<std::pair<std::string_view, SelectionRule>, 6> kNames = {{
+    {"random", SelectionRule::kRandom},
+    {"round_robin", SelectionRule::kRoundRobin},
+    {"least_in_flight", SelectionRule::kLeastInFlight},
+    {"power_of_two", SelectionRule::kPowerOfTwo},
+    {"peak_ewma", SelectionRule::kPeakEwma},
+    {"hot_cold", SelectionRule::kHotCold},
+}};
+
+}  // namespace
+
+std::optional<SelectionRule> ParseSelectionRule(std::string_view name) {
+  for (const auto& [known, rule] : kNames) {
+    if (known == name)
+      return rule;
+  }
+  return std::nullopt;
+}
+
+const Selector::RuleRow Selector::kRules[] = {
+    {SelectionRule::kRandom, &Selector::Random},
+    {SelectionRule::kRoundRobin, &Selector::RoundRobin},
+    {SelectionRule::kLeastInFlight, &Selector::LeastInFlight},
+    {SelectionRule::kPowerOfTwo, &Selector::PowerOfTwo},
+    {SelectionRule::kPeakEwma, &Selector::PeakEwma},
+    {SelectionRule::kHotCold, &Selector::HotCold},
+};
+
+EndpointHandle Selector::Choose(SelectionRule rule) {
+  if (m_plan.candidates.empty())
+    return {};
+  const Rule choose = kRules[static_cast<size_t>(rule)].choose;
+  return (this->*choose)();
+}
+
+bool Selector::IsEligible(EndpointHandle endpoint) const {
+  const EndpointState& state = m_parts.At(endpoint);
+  if (!state.active || state.leaving || state.ejected_until > m_now)
+    return false;
+  if (state.in_flight >= state.connection_limit)
+    return false;
+  const auto end = m_call.tried.begin() + m_call.attempts;
+  return std::find(m_call.tried.begin(), end, endpoint) == end;
+}
+
+EndpointHandle Selector::EligibleFrom(size_t start) const {
+  const size_t count = m_plan.candidates.size();
+  for (size_t step = 0; step < count; ++step) {
+    const EndpointHandle endpoint = m_plan.candidates[(start + step) % count];
+    if (IsEligible(endpoint))
+      return endpoint;
+  }
+  return {};
+}
+
+EndpointHandle Selector::Sample() const {
+  const size_t count = m_plan.candidates.size();
+  for (int draw = 0; draw < kDraws; ++draw) {
+    const EndpointHandle endpoint = m_plan.candidates[m_parts.random() % count];
+    if (IsEligible(endpoint))
+      return endpoint;
+  }
+  return EligibleFrom(m_parts.random() % count);
+}
+
+template <typename Score>
+EndpointHandle Selector::BestOf(size_t count, Score score) const {
+  EndpointHandle best;
+  float best_score = std::numeric_limits<float>::max();
+  for (size_t i = 0; i < count; ++i) {
+    const EndpointHandle endpoint = Sample();
+    if (!endpoint.IsValid())
+      return best;
+    const float value = score(endpoint);
+    if (value < best_score) {
+      best = endpoint;
+      best_score = value;
+    }
+  }
+  return best;
+}
+
+EndpointHandle Selector::Random() {
+  return Sample();
+}
+
+EndpointHandle Selector::RoundRobin() {
+  return EligibleFrom(m_plan.next_round_robin++);
+}
+
+EndpointHandle Selector::LeastInFlight() {
+  const size_t start = m_parts.random() % m_plan.candidates.size();
+  EndpointHandle best;
+  for (size_t step = 0; step < m_plan.candidates.size(); ++step) {
+    const EndpointHandle endpoint = m_plan.candidates[(start + step) % m_plan.candidates.size()];
+    if (!IsEligible(endpoint))
+      continue;
+    if (!best.IsValid() || m_parts.At(endpoint).in_flight < m_parts.At(best).in_flight)
+      best = endpoint;
+  }
+  return best;
+}
+
+EndpointHandle Selector::PowerOfTwo() {
+  return BestOf(2, [this](EndpointHandle endpoint) { return static_cast<float>(m_parts.At(endpoint).in_flight); });
+}
+
+EndpointHandle Selector::PeakEwma() {
+  return BestOf(2, [this](EndpointHandle endpoint) { return PeakEwmaScore(endpoint); });
+}
+
+float Selector::PeakEwmaScore(EndpointHandle endpoint) const {
+  const EndpointState& state = m_parts.At(endpoint);
+  return (state.latency_us + 1.0F) * static_cast<float>(state.in_flight + 1);
+}
+
+EndpointHandle Selector::HotCold() {
+  const bool hold = m_parts.options.late_binding;
+  EndpointHandle best = BestOf(kSamples, [this](EndpointHandle endpoint) { return HotColdScore(endpoint); });
+  if (!best.IsValid() || !hold || !IsFull(best))
+    return best;
+  // Everything sampled is full: one more look before the call has to wait.
+  best = BestOf(kSamples, [this](EndpointHandle endpoint) { return HotColdScore(endpoint); });
+  return best.IsValid() && IsFull(best) ? EndpointHandle() : best;
+}
+
+float Selector::Occupancy(EndpointHandle endpoint) const {
+  const EndpointState& state = m_parts.At(endpoint);
+  const float mean = m_parts.At(state.service).others_load;
+  const auto own = static_cast<float>(state.in_flight);
+  if (state.reported_at == TimePoint())
+    return own + mean;
+  const float others =
+      state.reported > state.own_at_report ? static_cast<float>(state.reported - state.own_at_report) : 0.0F;
+  const FloatMicros age = m_now - state.reported_at;
+  const float weight = kReportHalfAge / (kReportHalfAge + age);
+  return own + mean + (others - mean) * weight;
+}
+
+float Selector::EffectiveSlots(EndpointHandle endpoint) const {
+  const EndpointState& state = m_parts.At(endpoint);
+  const auto slots = static_cast<float>(state.slots);
+  if (state.ramp_start == TimePoint())
+    return slots;
+  const FloatMicros age = m_now - state.ramp_start;
+  const float part = std::min(1.0F, kRampStart + (1.0F - kRampStart) * (age / kRampLength));
+  return std::max(1.0F, slots * part);
+}
+
+bool Selector::IsFull(EndpointHandle endpoint) const {
+  const EndpointState& state = m_parts.At(endpoint);
+  const float slots = EffectiveSlots(endpoint);
+  if (static_cast<float>(state.in_flight) + 1.0F > slots)
+    return true;
+  // Without news an endpoint gets a call now and then: otherwise nobody would learn that it has room.
+  if (m_now - state.reported_at > kReportFresh && state.in_flight == 0)
+    return false;
+  constexpr float kRoom = 0.5F;
+  return Occupancy(endpoint) + kRoom > slots;
+}
+
+float Selector::RelativeLatency(EndpointHandle endpoint) const {
+  const EndpointState& state = m_parts.At(endpoint);
+  const float mean = m_parts.At(state.service).LatencyFor(m_plan.row.work);
+  if (mean <= 0.0F)
+    return 1.0F;
+  float latency = state.latency_us > 0.0F ? state.latency_us : mean;
+  if (state.in_flight > 0) {
+    const float waiting = FloatMicros(m_now - state.progress_at).count();
+    if (waiting > kOverdue * mean)
+      latency = std::max(latency, waiting);
+  }
+  return std::clamp(latency / mean, kMinRelativeLatency, kMaxRelativeLatency);
+}
+
+float Selector::HotColdScore(EndpointHandle endpoint) const {
+  const EndpointState& state = m_parts.At(endpoint);
+  const float share = (Occupancy(endpoint) + 1.0F) / EffectiveSlots(endpoint);
+  const float remote = state.same_domain ? 0.0F : kRemotePenalty;
+  if (share > kHotShare)
+    return kHotOffset + share + remote;
+  return RelativeLatency(endpoint) * (share + kMinRelativeLatency) + remote;
+}
+
+}  // namespace sassafras
--- /dev/null
+++ b/libs/core/src/wait_queue.cc
@@ -0,0 +1,44 @@
+#include "wait_queue.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace sassafras {
+namespace {
+
+/** Heap order: the entry to serve first is the largest. */
+bool ServedLater(const WaitQueue::Entry& left, const WaitQueue::Entry& right) {
+  return std::tie(left.priority, left.virtual_finish, left.deadline) >
+         std::tie(right.priority, right.virtual_finish, right.deadline);
+}
+
+}  // namespace
+
+void WaitQueue::Push(const Entry& entry) {
+  m_heap.push_back(entry);
+  std::push_heap(m_heap.begin(), m_heap.end(), &ServedLater);
+}
+
+void WaitQueue::Pop() {
+  std::pop_heap(m_heap.begin(), m_heap.end(), &ServedLater);
+  m_heap.pop_back();
+}
+
+std::optional<WaitQueue::Entry> WaitQueue::EvictBelow(uint8_t priority) {
+  const auto worst = std::min_element(m_heap.begin(), m_heap.end(), &ServedLater);
+  if (worst == m_heap.end())
+    return std::nullopt;
+  // min_element under "served later" is the entry that would be served last.
+  const Entry entry = *worst;
+  if (entry.priority <= priority)
+    return std::nullopt;
+  m_heap.erase(worst);
+  Restore();
+  return entry;
+}
+
+void WaitQueue::Restore() {
+  std::make_heap(m_heap.begin(), m_heap.end(), &ServedLater);
+}
+
+}  // namespace sassafras
--- /dev/null
+++ b/libs/core/src/wait_queue.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <vector>
+
+#include "base/clock.h"
+#include "core/call_handle.h"
+
+namespace sassafras {
+
+/** Calls that wait for an endpoint, ordered by priority, fair share and deadline. */
+class WaitQueue {
+ public:
+  struct Entry {
+    uint8_t priority = 0;
+    double virtual_finish = 0;
+    TimePoint deadline;
+    CallHandle call;
+  };
+
+  /** Adds an entry; allocates nothing while the size stays below its earlier maximum. */
+  void Push(const Entry& entry);
+  bool Empty() const { return m_heap.empty(); }
+  size_t Size() const { return m_heap.size(); }
+  const Entry& Top() const { return m_heap.front(); }
+  void Pop();
+  /** Removes and returns an entry of the least urgent priority present, if that is below `priority`. */
+  std::optional<Entry> EvictBelow(uint8_t priority);
+  /** Removes all entries for which `drop` returns true. */
+  template <typename Predicate>
+  void RemoveIf(Predicate drop);
+
+ private:
+  void Restore();
+  std::vector<Entry> m_heap;
+};
+
+template <typename Predicate>
+void WaitQueue::RemoveIf(Predicate drop) {
+  if (std::erase_if(m_heap, drop) > 0)
+    Restore();
+}
+
+}  // namespace sassafras
--- /dev/null
+++ b/libs/entry/src/admin_pages.cc
@@ -0,0 +1,170 @@
+#include "admin_pages.h"
+
+#include <chrono>
+#include <utility>
+
+#include <boost/json.hpp>
+#include <fmt/format.h>
+
+#include "core/plan_counters.h"
+#include "core/state.h"
+#include "engine.h"
+#include "lists/endpoint.h"
+#include "lists/plan.h"
+#include "request_facts.h"
+#include "settings/settings.h"
+
+namespace sassafras {
+namespace {
+
+namespace json = boost::json;
+using std::chrono::duration_cast;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr int kOk = 200;
+constexpr int kNotFound = 404;
+constexpr int kUnavailable = 503;
+constexpr seconds kShortWindow{300};
+constexpr seconds kLongWindow{3'600};
+
+std::string_view PhaseName(Phase phase) {
+  switch (phase) {
+    case Phase::kStarting:
+      return "starting";
+    case Phase::kServing:
+      return "serving";
+    case Phase::kLeaving:
+      return "leaving";
+    case Phase::kClosing:
+      return "closing";
+  }
+  return "closing";
+}
+
+json::object CountersJson(const PlanCounters& counters) {
+  return {{"good", counters.good},       {"slow", counters.slow},       {"failed", counters.failed},
+          {"not_run", counters.not_run}, {"unknown", counters.unknown}, {"cancelled", counters.cancelled},
+          {"retries", counters.retries}, {"hedges", counters.hedges}};
+}
+
+AdminPages::Page JsonPage(int status, const json::value& value) {
+  return {status, "application/json", json::serialize(value) + "\n"};
+}
+
+void AppendPlanCounters(const State& state, PlanHandle plan, std::string& text) {
+  const PlanCounters& totals = state.Totals(plan);
+  const std::string& name = state.PlanRow(plan).name;
+  const auto add = [&](std::string_view outcome, uint64_t value) {
+    fmt::format_to(std::back_inserter(text), "sassafras_calls_total{{plan=\"{}\",outcome=\"{}\"}} {}\n", name, outcome,
+                   value);
+  };
+  add("good", totals.good);
+  add("slow", totals.slow);
+  add("failed", totals.failed);
+  add("not_run", totals.not_run);
+  add("unknown", totals.unknown);
+  add("cancelled", totals.cancelled);
+  fmt::format_to(std::back_inserter(text), "sassafras_retries_total{{plan=\"{}\"}} {}\n", name, totals.retries);
+  fmt::format_to(std::back_inserter(text), "sassafras_hedges_total{{plan=\"{}\"}} {}\n", name, totals.hedges);
+}
+
+}  // namespace
+
+const AdminPages::Row AdminPages::kRows[] = {
+    {"/sassafras/addresses", &AdminPages::Addresses},
+    {"/sassafras/health", &AdminPages::Health},
+    {"/sassafras/counters", &AdminPages::CountersText},
+    {"/sassafras/status", &AdminPages::Status},
+    {"/sassafras/burn", &AdminPages::Burn},
+};
+
+AdminPages::AdminPages(const Engine& engine,
+                       const Settings& settings,
+                       Counters& counters,
+                       std::function<void()> refresh)
+    : m_engine(engine), m_settings(settings), m_counters(counters), m_refresh(std::move(refresh)) {}
+
+AdminPages::Page AdminPages::Render(std::string_view target) const {
+  const std::string_view path = PathOf(target);
+  std::string known;
+  for (const Row& row : kRows) {
+    if (row.path == path)
+      return (this->*row.render)();
+    fmt::format_to(std::back_inserter(known), "{}\n", row.path);
+  }
+  return {kNotFound, "text/plain", "no such page; use one of\n" + known};
+}
+
+AdminPages::Page AdminPages::Addresses() const {
+  json::array addresses;
+  for (const Member& member : m_engine.GetState().ServingMembers()) {
+    addresses.push_back(json::object{{"address", member.address},
+                                     {"failure_domain", member.failure_domain},
+                                     {"owner", FormatOwner(member.name, member.incarnation, member.epoch)}});
+  }
+  const int status = addresses.empty() ? kUnavailable : kOk;
+  return JsonPage(status, json::object{{"ttl_ms", duration_cast<milliseconds>(m_settings.address_ttl).count()},
+                                       {"addresses", std::move(addresses)}});
+}
+
+AdminPages::Page AdminPages::Health() const {
+  const Phase phase = m_engine.GetState().CurrentPhase();
+  return JsonPage(phase == Phase::kServing ? kOk : kUnavailable, json::object{{"phase", PhaseName(phase)}});
+}
+
+AdminPages::Page AdminPages::CountersText() const {
+  m_refresh();
+  const State& state = m_engine.GetState();
+  std::string text = m_counters.RenderText();
+  for (uint32_t index = 0; index < state.PlanCount(); ++index)
+    AppendPlanCounters(state, PlanHandle(index), text);
+  return {kOk, "text/plain; version=0.0.4", std::move(text)};
+}
+
+AdminPages::Page AdminPages::Status() const {
+  const State& state = m_engine.GetState();
+  json::array leaving;
+  for (uint32_t index = 0; index < state.EndpointCount(); ++index) {
+    const EndpointHandle endpoint(index);
+    if (state.IsLeaving(endpoint))
+      leaving.emplace_back(state.EndpointRow(endpoint).name);
+  }
+  const Member& self = state.Self();
+  return JsonPage(kOk, json::object{{"instance", self.name},
+                                    {"incarnation", fmt::format("{:x}", self.incarnation)},
+                                    {"failure_domain", self.failure_domain},
+                                    {"phase", PhaseName(state.CurrentPhase())},
+                                    {"generation", state.Generation()},
+                                    {"peers", state.ServingMembers().size()},
+                                    {"calls_in_progress", state.CallsInProgress()},
+                                    {"calls_waiting", state.CallsWaiting()},
+                                    {"records", state.RecordCount()},
+                                    {"quarantined", state.QuarantineCount()},
+                                    {"probe_seats", state.SeatsHeld(m_engine.Now())},
+                                    {"probes_sent", state.ProbesSent()},
+                                    {"table_bytes", state.TableBytes()},
+                                    {"leaving_endpoints", std::move(leaving)}});
+}
+
+AdminPages::Page AdminPages::Burn() const {
+  const State& state = m_engine.GetState();
+  json::array plans;
+  for (uint32_t index = 0; index < state.PlanCount(); ++index) {
+    const PlanHandle plan(index);
+    const Plan& row = state.PlanRow(plan);
+    plans.push_back(json::object{{"plan", row.name},
+                                 {"customer", row.customer},
+                                 {"objective_success", row.objective_success},
+                                 {"objective_latency_us", row.objective_latency.count()},
+                                 {"total", CountersJson(state.Totals(plan))},
+                                 {"last_5m", CountersJson(state.Recent(plan, kShortWindow, m_engine.Now()))},
+                                 {"last_1h", CountersJson(state.Recent(plan, kLongWindow, m_engine.Now()))}});
+  }
+  const Member& self = state.Self();
+  return JsonPage(kOk, json::object{{"instance", self.name},
+                                    {"incarnation", fmt::format("{:x}", self.incarnation)},
+                                    {"plans", std::move(plans)}});
+}
+
+}  // namespace sassafras
--- /dev/null
+++ b/libs/entry/src/admin_pages.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include <functional>
+#include <string>
+#include <string_view>
+
+#include "base/counters.h"
+
+namespace sassafras {
+
+class Engine;
+struct Settings;
+
+/** Pages under /sassafras/: address answer, health, counters, status and burn. */
+class AdminPages {
+ public:
+  struct Page {
+    int status = 200;
+    std::string content_type;
+    std::string body;
+  };
+
+  /** @param refresh  brings the counters of other parts up to date before they are rendered */
+  AdminPages(const Engine& engine, const Settings& settings, Counters& counters, std::function<void()> refresh);
+
+  /** Renders the page for a request target; 404 with the list of pages for an unknown one. */
+  Page Render(std::string_view target) const;
+
+ private:
+  using Renderer = Page (AdminPages::*)() const;
+  struct Row {
+    std::string_view path;
+    Renderer render;
+  };
+  static const Row kRows[];
+
+  Page Addresses() const;
+  Page Health() const;
+  Page CountersText() const;
+  Page Status() const;
+  Page Burn() const;
+
+  const Engine& m_engine;
+  const Settings& m_settings;
+  Counters& m_counters;
+  std::function<void()> m_refresh;
+};
+
+}  // namespace sassafras
--- /dev/null
+++ b/libs/entry/src/attempt.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "attempt_target.h"
+#include "core/event.h"
+#include "http_types.h"
+#include "upstream_connection.h"
+
+namespace sassafras {
+
+class CallExchange;
+class Engine;
+class UpstreamPool;
+
+/** One attempt of a call at one endpoint: sends the request, and relays the answer if it is the first. */
+class Attempt {
+ public:
+  Attempt(CallExchange& exchange, Engine& engine, UpstreamPool& pool, AttemptTarget target);
+
+  /** Runs to the end and reports it to the exchange exactly once. */
+  asio::awaitable<void> Run();
+  /** Breaks the exchange with the endpoint off; Run() then ends soon. */
+  void Cancel();
+
+ private:
+  using Response = http::response_parser<http::buffer_body>;
+
+  asio::awaitable<AttemptResult> Exchange();
+  asio::awaitable<bool> Connect();
+  asio::awaitable<error_code> SendRequest();
+  asio::awaitable<error_code> SendStreamedBody(http::request<http::buffer_body> request);
+  asio::awaitable<error_code> ReadHead();
+  asio::awaitable<AttemptResult> Discard();
+  asio::awaitable<AttemptResult> Relay();
+  asio::awaitable<AttemptResult> RelayBody(http::response<http::buffer_body>& answer);
+  asio::awaitable<void> WriteToCaller(http::response_serializer<http::buffer_body>& serializer);
+  bool IsFramed() const;
+  AttemptResult Failed(const error_code& error) const;
+  void ReturnIfClean();
+  void Keep(const http::response<http::buffer_body>& answer);
+
+  CallExchange& m_exchange;
+  Engine& m_engine;
+  UpstreamPool& m_pool;
+  AttemptTarget m_target;
+  std::unique_ptr<UpstreamConnection> m_connection;
+  std::optional<Response> m_response;
+  bool m_cancelled = false;
+  bool m_request_sent_whole = false;
+  /** Answer kept so far; empty once it has grown too large. */
+  std::shared_ptr<RecordedAnswer> m_kept;
+  Event::AttemptEnded m_ended;
+};
+
+}  // namespace sassafras
--- /dev/null
+++ b/libs/entry/src/call_exchange.cc
@@ -0,0 +1,136 @@
+#include "call_exchange.h"
+
+#include <algorithm>
+#include <utility>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include "attempt.h"
+#include "engine.h"
+#include "lists/endpoint.h"
+#include "lists/plan.h"
+#include "upstream_pool.h"
+
+namespace sassafras {
+
+CallExchange::CallExchange(Engine& engine,
+                           UpstreamPool& pool,
+                           std::chrono::milliseconds connect_timeout,
+                           std::shared_ptr<CallerStream> caller,
+                           std::unique_ptr<Parser> request)
+    : m_engine(engine),
+      m_pool(pool),
+      m_connect_timeout(connect_timeout),
+      m_caller(std::move(caller)),
+      m_request(std::move(request)),
+      m_ended(m_caller->stream.get_executor(), TimePoint::max()),
+      m_hedge(m_caller->stream.get_executor()) {}
+
+CallExchange::~CallExchange() {
+  if (m_ticket != 0)
+    m_engine.Forget(m_ticket);
+}
+
+void CallExchange::Submit(PlanHandle plan, Duration limit, uint64_t fingerprint, const Idempotency& idempotency) {
+  m_repeat_safe = m_engine.GetState().PlanRow(plan).repeat == Repeat::kSafe;
+  m_ticket = m_engine.Register(*this);
+  Event::CallArrived event;
+  event.now = m_engine.Now();
+  event.ticket = m_ticket;
+  event.plan = plan;
+  event.limit = limit;
+  event.fingerprint = fingerprint;
+  event.replayable = BodyComplete();
+  event.idempotency = idempotency;
+  m_engine.Post(std::move(event));
+}
+
+asio::awaitable<CallExchange::End> CallExchange::Wait() {
+  error_code ignored;
+  while (m_end == End::kPending)
+    co_await m_ended.async_wait(Awaiting(ignored));
+  co_return m_end;
+}
+
+void CallExchange::SetEnd(End end) {
+  if (m_end != End::kPending)
+    return;
+  m_end = end;
+  m_ended.cancel();
+  m_hedge.cancel();
+}
+
+void CallExchange::CallerGone() {
+  m_caller->gone = true;
+  m_engine.Post(Event::CallerGone{m_engine.Now(), m_call});
+  if (!m_repeat_safe && !m_attempts.empty())
+    return;
+  for (const auto& attempt : m_attempts)
+    attempt->Cancel();
+  SetEnd(End::kGone);
+}
+
+bool CallExchange::Claim(const Attempt& attempt) {
+  if (m_claimed_by != nullptr && m_claimed_by != &attempt)
+    return false;
+  m_claimed_by = &attempt;
+  m_hedge.cancel();
+  for (const auto& other : m_attempts) {
+    if (other.get() != &attempt)
+      other->Cancel();
+  }
+  return true;
+}
+
+void CallExchange::Report(const Attempt& attempt, Event::AttemptEnded ended) {
+  std::erase_if(m_attempts, [&](const auto& known) { return known.get() == &attempt; });
+  if (m_claimed_by == &attempt)
+    m_claimed_by = nullptr;
+  ended.now = m_engine.Now();
+  ended.call = m_call;
+  m_engine.Post(std::move(ended));
+}
+
+void CallExchange::OnDispatch(const Effect::Dispatch& dispatch) {
+  AttemptTarget target;
+  target.endpoint = dispatch.endpoint;
+  target.address = m_engine.GetState().EndpointRow(dispatch.endpoint).address;
+  target.deadline = dispatch.deadline;
+  target.connect_timeout = m_connect_timeout;
+  target.keep_answer = dispatch.keep_answer;
+  auto attempt = std::make_shared<Attempt>(*this, m_engine, m_pool, std::move(target));
+  m_attempts.push_back(attempt);
+  if (dispatch.hedge_at != TimePoint::max())
+    ArmHedge(dispatch.hedge_at);
+  asio::co_spawn(m_caller->stream.get_executor(), RunAttempt(std::move(attempt)), asio::detached);
+}
+
+asio::awaitable<void> CallExchange::RunAttempt(std::shared_ptr<Attempt> attempt) {
+  // Keeps this exchange alive until the attempt has ended.
+  const std::shared_ptr<CallExchange> self = shared_from_this();
+  co_await attempt->Run();
+}
+
+void CallExchange::ArmHedge(TimePoint hedge_at) {
+  m_hedge.expires_at(hedge_at);
+  m_hedge.async_wait([weak = weak_from_this()](error_code error) {
+    const auto self = weak.lock();
+    if (error || self == nullptr || self->m_claimed_by != nullptr || self->m_end != End::kPending)
+      return;
+    self->m_engine.Post(Event::HedgeDue{self->m_engine.Now(), self->m_call});
+  });
+}
+
+void CallExchange::OnReject(Reason reason, const std::string& owner_address) {
+  m_reason = reason;
+  m_owner_address = owner_address;
+  SetEnd(m_answer_started ? End::kCut : End::kRejected);
+}
+
+void CallExchange::OnRecorded(std::shared_ptr<const RecordedAnswer> answer) {
+  m_recorded = std::move(answer);
+  SetEnd(End::kRecorded);
+}
+
+}  // namespace sassafras
--- /dev/null
+++ b/libs/entry/src/call_exchange.h
@@ -0,0 +1,109 @@
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "call_sink.h"
+#include "caller_stream.h"
+#include "core/event.h"
+#include "core/idempotency.h"
+#include "core/recorded_answer.h"
+#include "http_types.h"
+
+namespace sassafras {
+
+class Attempt;
+class Engine;
+class UpstreamPool;
+
+/** One request of a caller on its way through the instance: its attempts and its one answer. */
+class CallExchange final : public CallSink, public std::enable_shared_from_this<CallExchange> {
+ public:
+  using Parser = http::request_parser<http::buffer_body>;
+
+  /** How the call ended, as the session has to act on it. */
+  enum class End : uint8_t {
+    kPending,
+    /** The whole answer went to the caller. */
+    kAnswered,
+    /** A part of an answer went out; the connection must be closed. */
+    kCut,
+    /** Write an error for `reason`. */
+    kRejected,
+    /** Write the recorded answer. */
+    kRecorded,
+    /** The caller is gone; nothing is written. */
+    kGone,
+  };
+
+  CallExchange(Engine& engine,
+               UpstreamPool& pool,
+               std::chrono::milliseconds connect_timeout,
+               std::shared_ptr<CallerStream> caller,
+               std::unique_ptr<Parser> request);
+  ~CallExchange() override;
+
+  /** Body read so far; the whole body if BodyComplete(). */
+  std::string& Body() { return m_body; }
+  bool BodyComplete() const { return m_request->is_done(); }
+  Parser& Request() { return *m_request; }
+  CallerStream& Caller() { return *m_caller; }
+  bool KeepAlive() const { return m_keep_alive; }
+  void SetKeepAlive(bool keep_alive) { m_keep_alive = keep_alive; }
+
+  /** Submits the call to the reducer. */
+  void Submit(PlanHandle plan, Duration limit, uint64_t fingerprint, const Idempotency& idempotency);
+  /** Waits until the call has ended. */
+  asio::awaitable<End> Wait();
+  /** The caller closed its connection while the call was in progress. */
+  void CallerGone();
+
+  Reason RejectReason() const { return m_reason; }
+  const std::string& OwnerAddress() const { return m_owner_address; }
+  const std::shared_ptr<const RecordedAnswer>& Recorded() const { return m_recorded; }
+
+  // For attempts.
+  /** Makes this attempt the one that answers; cancels the others. False if another one was first. */
+  bool Claim(const Attempt& attempt);
+  /** Reports the end of an attempt to the reducer. */
+  void Report(const Attempt& attempt, Event::AttemptEnded ended);
+  void SetEnd(End end);
+  bool HasAttempts() const { return !m_attempts.empty(); }
+  bool IsIdempotent() const { return m_repeat_safe; }
+  bool AnswerStarted() const { return m_answer_started; }
+  void SetAnswerStarted() { m_answer_started = true; }
+
+  void OnAccepted(CallHandle call) override { m_call = call; }
+  void OnDispatch(const Effect::Dispatch& dispatch) override;
+  void OnReject(Reason reason, const std::string& owner_address) override;
+  void OnRecorded(std::shared_ptr<const RecordedAnswer> answer) override;
+
+ private:
+  asio::awaitable<void> RunAttempt(std::shared_ptr<Attempt> attempt);
+  void ArmHedge(TimePoint hedge_at);
+
+  Engine& m_engine;
+  UpstreamPool& m_pool;
+  std::chrono::milliseconds m_connect_timeout;
+  std::shared_ptr<CallerStream> m_caller;
+  std::unique_ptr<Parser> m_request;
+  std::string m_body;
+  bool m_keep_alive = true;
+  bool m_repeat_safe = false;
+  uint64_t m_ticket = 0;
+  CallHandle m_call;
+  End m_end = End::kPending;
+  Reason m_reason = Reason::kNoPlan;
+  std::string m_owner_address;
+  std::shared_ptr<const RecordedAnswer> m_recorded;
+  asio::steady_timer m_ended;
+  asio::steady_timer m_hedge;
+  std::vector<std::shared_ptr<Attempt>> m_attempts;
+  const Attempt* m_claimed_by = nullptr;
+  bool m_answer_started = false;
+};
+
+}  // namespace sassafras
--- /dev/null
+++ b/libs/entry/src/call_sink.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include <memory>
+#include <string>
+
+#include "core/call_handle.h"
+#include "core/effect.h"
+#include "core/outcome.h"
+
+namespace sassafras {
+
+struct RecordedAnswer;
+
+/** Receives the effects that concern one call. */
+class CallSink {
+ public:
+  virtual ~CallSink() = default;
+  virtual void OnAccepted(CallHandle call) = 0;
+  virtual void OnDispatch(const Effect::Dispatch& dispatch) = 0;
+  virtual void OnReject(Reason reason, const std::string& owner_address) = 0;
+  virtual void OnRecorded(std::shared_ptr<const RecordedAnswer> answer) = 0;
+};
+
+}  // namespace sassafras
--- /dev/null
+++ b/libs/entry/src/caller_session.cc
@@ -0,0 +1,271 @@
+#include "caller_session.h"
+
+#include <algorithm>
+#include <array>
+#include <utility>
+
+#include <boost/json.hpp>
+#include <fmt/format.h>
+
+#include "admin_pages.h"
+#include "base/error.h"
+#include "core/state.h"
+#include "engine.h"
+#include "request_facts.h"
+#include "session_limits.h"
+
+namespace sassafras {
+namespace {
+
+constexpr std::string_view kAdminPrefix = "/sassafras/";
+constexpr int kVersionNotSupported = 505;
+constexpr int kNotImplemented = 501;
+
+std::string_view View(beast::string_view text) {
+  return {text.data(), text.size()};
+}
+
+std::string RejectionBody(Reason reason, std::string_view detail) {
+  const ReasonInfo& info = InfoOf(reason);
+  const std::string remedy(detail.empty() ? info.remedy : detail);
+  return boost::json::serialize(
+      boost::json::object{{"outcome", OutcomeName(info.outcome)}, {"reason", info.name}, {"remedy", remedy}});
+}
+
+}  // namespace
+
+CallerSession::CallerSession(asio::ip::tcp::socket socket,
+                             Engine& engine,
+                             UpstreamPool& pool,
+                             const AdminPages& admin,
+                             std::chrono::milliseconds connect_timeout)
+    : m_caller(std::make_shared<CallerStream>(std::move(socket))),
+      m_engine(engine),
+      m_pool(pool),
+      m_admin(admin),
+      m_connect_timeout(connect_timeout) {}
+
+void CallerSession::Close() {
+  m_closing = true;
+  if (m_idle)
+    m_caller->stream.close();
+}
+
+asio::awaitable<void> CallerSession::Run() {
+  error_code ignored;
+  m_caller->stream.socket().set_option(asio::ip::tcp::no_delay(true), ignored);
+  bool more = true;
+  while (more && !m_closing) {
+    more = co_await WaitForRequest();
+    if (more)
+      more = co_await ServeOne();
+  }
+  m_caller->stream.socket().shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+  m_caller->stream.close();
+}
+
+asio::awaitable<bool> CallerSession::WaitForRequest() {
+  if (m_caller->buffer.size() > 0)
+    co_return true;
+  m_idle = true;
+  m_caller->stream.expires_after(kIdleCallerLimit);
+  error_code error;
+  constexpr size_t kReadAhead = 4'096;
+  const size_t size = co_await m_caller->stream.async_read_some(m_caller->buffer.prepare(kReadAhead), Awaiting(error));
+  m_caller->buffer.commit(size);
+  m_idle = false;
+  co_return !error && size > 0;
+}
+
+asio::awaitable<bool> CallerSession::ServeOne() {
+  auto parser = std::make_unique<Parser>();
+  parser->header_limit(kMaxRequestHead);
+  parser->body_limit(boost::none);
+  m_caller->stream.expires_after(kSlowSenderLimit);
+  error_code error;
+  co_await http::async_read_header(m_caller->stream, m_caller->buffer, *parser, Awaiting(error));
+  if (error == http::error::end_of_stream || error == beast::error::timeout)
+    co_return false;
+  if (error) {
+    co_await WriteRejection(Reason::kBadRequest, fmt::format("request head: {}", error.message()), {}, false);
+    co_return false;
+  }
+  const auto& head = parser->get();
+  if (head.version() != 11) {
+    co_await WriteText(kVersionNotSupported, "text/plain", "use HTTP/1.1\n", false);
+    co_return false;
+  }
+  if (head.method() == http::verb::connect || http::token_list(head[http::field::connection]).exists("upgrade")) {
+    co_await WriteText(kNotImplemented, "text/plain", "upgrades and tunnels are not served; send plain requests\n",
+                       false);
+    co_return false;
+  }
+  if (View(head.target()).starts_with(kAdminPrefix))
+    co_return co_await ServeAdmin(*parser);
+  co_return co_await ServeCall(std::move(parser));
+}
+
+asio::awaitable<bool> CallerSession::ServeAdmin(Parser& parser) {
+  const AdminPages::Page page = m_admin.Render(View(parser.get().target()));
+  const bool keep_alive = parser.is_done() && parser.get().keep_alive() && !m_closing;
+  co_return co_await WriteText(page.status, page.content_type, page.body, keep_alive);
+}
+
+asio::awaitable<bool> CallerSession::ReadHeldBody(CallExchange& exchange) {
+  Parser& parser = exchange.Request();
+  std::string& body = exchange.Body();
+  error_code error;
+  if (parser.get()[http::field::expect] == "100-continue" && !parser.is_done()) {
+    http::response<http::empty_body> go_on(http::status::continue_, 11);
+    co_await http::async_write(m_caller->stream, go_on, Awaiting(error));
+  }
+  constexpr size_t kPiece = 8u << 10u;
+  while (!error && !parser.is_done() && body.size() < kMaxHeldBody) {
+    const size_t had = body.size();
+    body.resize(had + kPiece);
+    parser.get().body().data = body.data() + had;
+    parser.get().body().size = kPiece;
+    m_caller->stream.expires_after(kSlowSenderLimit);
+    co_await http::async_read_some(m_caller->stream, m_caller->buffer, parser, Awaiting(error));
+    if (error == http::error::need_buffer)
+      error = {};
+    body.resize(had + kPiece - parser.get().body().size);
+  }
+  co_return !error;
+}
+
+asio::awaitable<bool> CallerSession::ServeCall(std::unique_ptr<Parser> parser) {
+  const bool keep_alive = parser->get().keep_alive() && !m_closing;
+  const std::string method(View(parser->get().method_string()));
+  const std::string target(View(parser->get().target()));
+  auto exchange = std::make_shared<CallExchange>(m_engine, m_pool, m_connect_timeout, m_caller, std::move(parser));
+  exchange->SetKeepAlive(keep_alive);
+  if (!co_await ReadHeldBody(*exchange)) {
+    co_await WriteRejection(Reason::kBadRequest, "the request body did not arrive whole in time; send it again", {},
+                            false);
+    co_return false;
+  }
+  const http::fields& fields = exchange->Request().get();
+  const auto limit = ReadDeadline(fields);
+  if (!limit.ok()) {
+    co_return co_await WriteRejection(Reason::kBadRequest, MessageOf(limit.status()), {},
+                                      keep_alive && exchange->BodyComplete());
+  }
+  const auto idempotency = ReadIdempotency(fields, method, PathOf(target));
+  if (!idempotency.ok()) {
+    const bool missing = fields.find(kOwnerHeader) == fields.end();
+    co_return co_await WriteRejection(missing ? Reason::kOwnerMissing : Reason::kBadOwner,
+                                      MessageOf(idempotency.status()), {}, keep_alive && exchange->BodyComplete());
+  }
+  const PlanHandle plan = m_engine.GetState().FindPlan(method, PathOf(target));
+  if (!plan.IsValid()) {
+    const bool ready = m_engine.GetState().CurrentPhase() != Phase::kStarting;
+    co_return co_await WriteRejection(ready ? Reason::kNoPlan : Reason::kNotReady, {}, {},
+                                      keep_alive && exchange->BodyComplete());
+  }
+  exchange->Submit(plan, *limit, FingerprintOf(method, target, exchange->Body()), *idempotency);
+  if (exchange->BodyComplete())
+    WatchCaller(exchange);
+  const CallExchange::End end = co_await exchange->Wait();
+  co_return co_await FinishCall(*exchange, end);
+}
+
+asio::awaitable<bool> CallerSession::FinishCall(CallExchange& exchange, CallExchange::End end) {
+  const bool keep_alive = exchange.KeepAlive() && exchange.BodyComplete() && !m_closing;
+  const bool head = exchange.Request().get().method() == http::verb::head;
+  switch (end) {
+    case CallExchange::End::kAnswered:
+      co_return exchange.KeepAlive() && exchange.BodyComplete();
+    case CallExchange::End::kRejected: {
+      std::string location;
+      if (exchange.RejectReason() == Reason::kRedirectToOwner)
+        location = fmt::format("http://{}{}", exchange.OwnerAddress(), View(exchange.Request().get().target()));
+      co_return co_await WriteRejection(exchange.RejectReason(), {}, std::move(location), keep_alive);
+    }
+    case CallExchange::End::kRecorded:
+      co_return co_await WriteRecorded(*exchange.Recorded(), head, keep_alive);
+    case CallExchange::End::kCut: {
+      // A reset, unlike an orderly end, cannot be taken for the end of an answer.
+      error_code ignored;
+      m_caller->stream.socket().set_option(asio::socket_base::linger(true, 0), ignored);
+      co_return false;
+    }
+    case CallExchange::End::kPending:
+    case CallExchange::End::kGone:
+      break;
+  }
+  co_return false;
+}
+
+void CallerSession::WatchCaller(const std::shared_ptr<CallExchange>& exchange) {
+  if (m_caller->buffer.size() > 0)
+    return;
+  auto wait = [caller = m_caller, weak = std::weak_ptr(exchange)](error_code error) {
+    const auto call = weak.lock();
+    if (error || call == nullptr)
+      return;
+    char byte = 0;
+    caller->stream.socket().non_blocking(true, error);
+    const size_t size = caller->stream.socket().receive(asio::buffer(&byte, 1), asio::socket_base::message_peek, error);
+    // Bytes are the next request of a pipelining caller; an end or an error means that it has gone.
+    if (size == 0 && error != asio::error::would_block)
+      call->CallerGone();
+  };
+  m_caller->stream.socket().async_wait(asio::socket_base::wait_read, std::move(wait));
+}
+
+asio::awaitable<bool> CallerSession::WriteText(int status,
+                                               std::string content_type,
+                                               std::string body,
+                                               bool keep_alive) {
+  http::response<http::string_body> answer(static_cast<http::status>(status), 11);
+  answer.set(http::field::content_type, content_type);
+  answer.set(http::field::cache_control, "no-store");
+  answer.keep_alive(keep_alive);
+  answer.body() = std::move(body);
+  answer.prepare_payload();
+  m_caller->stream.expires_after(kErrorWriteLimit);
+  error_code error;
+  co_await http::async_write(m_caller->stream, answer, Awaiting(error));
+  co_return !error && keep_alive;
+}
+
+asio::awaitable<bool> CallerSession::WriteRejection(Reason reason,
+                                                    std::string detail,
+                                                    std::string location,
+                                                    bool keep_alive) {
+  const ReasonInfo& info = InfoOf(reason);
+  http::response<http::string_body> answer(static_cast<http::status>(info.http_status), 11);
+  answer.set(http::field::content_type, "application/json");
+  answer.set("Sassafras-Outcome", OutcomeName(info.outcome));
+  answer.set("Sassafras-Reason", info.name);
+  constexpr int kServiceUnavailable = 503;
+  if (info.http_status == kServiceUnavailable)
+    answer.set(http::field::retry_after, "1");
+  if (!location.empty())
+    answer.set(http::field::location, location);
+  answer.keep_alive(keep_alive);
+  answer.body() = RejectionBody(reason, detail);
+  answer.prepare_payload();
+  m_caller->stream.expires_after(kErrorWriteLimit);
+  error_code error;
+  co_await http::async_write(m_caller->stream, answer, Awaiting(error));
+  co_return !error && keep_alive;
+}
+
+asio::awaitable<bool> CallerSession::WriteRecorded(const RecordedAnswer& recorded, bool head, bool keep_alive) {
+  http::response<http::string_body> answer(static_cast<http::status>(recorded.status), 11);
+  for (const auto& [name, value] : recorded.headers)
+    answer.insert(name, value);
+  answer.set("Sassafras-Recorded", "1");
+  answer.keep_alive(keep_alive);
+  if (!head)
+    answer.body() = recorded.body;
+  answer.prepare_payload();
+  m_caller->stream.expires_after(kErrorWriteLimit);
+  error_code error;
+  co_await http::async_write(m_caller->stream, answer, Awaiting(error));
+  co_return !error && keep_alive;
+}
+
+}  // namespace sassafras
--- /dev/null
+++ b/libs/entry/src/caller_session.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include <chrono>
+#include <memory>
+#include <string>
+
+#include "call_exchange.h"
+#include "caller_stream.h"
+#include "http_types.h"
+
+namespace sassafras {
+
+class AdminPages;
+class Engine;
+class UpstreamPool;
+
+/** One caller's connection: reads requests one after the other and answers each. */
+class CallerSession : public std::enable_shared_from_this<CallerSession> {
+ public:
+  CallerSession(asio::ip::tcp::socket socket,
+                Engine& engine,
+                UpstreamPool& pool,
+                const AdminPages& admin,
+                std::chrono::milliseconds connect_timeout);
+
+  asio::awaitable<void> Run();
+  /** Ends the connection once the request in progress, if any, has been answered. */
+  void Close();
+
+ private:
+  using Parser = CallExchange::Parser;
+
+  asio::awaitable<bool> WaitForRequest();
+  asio::awaitable<bool> ServeOne();
+  asio::awaitable<bool> ServeCall(std::unique_ptr<Parser> parser);
+  asio::awaitable<bool> ServeAdmin(Parser& parser);
+  asio::awaitable<bool> FinishCall(CallExchange& exchange, CallExchange::End end);
+  asio::awaitable<bool> ReadHeldBody(CallExchange& exchange);
+  asio::awaitable<bool> WriteText(int status, std::string content_type, std::string body, bool keep_alive);
+  asio::awaitable<bool> WriteRejection(Reason reason, std::string detail, std::string location, bool keep_alive);
+  asio::awaitable<bool> WriteRecorded(const RecordedAnswer& answer, bool head, bool keep_alive);
+  void WatchCaller(const std::shared_ptr<CallExchange>& exchange);
+
+  std::shared_ptr<CallerStream> m_caller;
+  Engine& m_engine;
+  UpstreamPool& m_pool;
+  const AdminPages& m_admin;
+  std::chrono::milliseconds m_connect_timeout;
+  bool m_idle = false;
+  bool m_closing = false;
+};
+
+}  // namespace sassafras
--- /dev/null
+++ b/libs/entry/src/engine.cc
@@ -0,0 +1,65 @@
+#include "engine.h"
+
+#include <type_traits>
+#include <utility>
+#include <variant>
+
+#include "call_sink.h"
+#include "control_sink.h"
+#include "core/reducer.h"
+#include "core/state_options.h"
+
+namespace sassafras {
+
+Engine::Engine(const StateOptions& options, const Clock& clock) : m_clock(clock), m_state(options) {}
+
+void Engine::Post(Event::Any event) {
+  m_pending.push_back(std::move(event));
+  if (m_running)
+    return;
+  m_running = true;
+  while (!m_pending.empty()) {
+    const Event::Any next = std::move(m_pending.front());
+    m_pending.pop_front();
+    m_effects.clear();
+    Reduce(m_state, next, m_effects);
+    for (const Effect::Any& effect : m_effects)
+      CarryOut(effect);
+  }
+  m_running = false;
+}
+
+uint64_t Engine::Register(CallSink& sink) {
+  m_sinks.emplace(++m_last_ticket, &sink);
+  return m_last_ticket;
+}
+
+CallSink* Engine::Find(uint64_t ticket) {
+  const auto found = m_sinks.find(ticket);
+  return found == m_sinks.end() ? nullptr : found->second;
+}
+
+void Engine::CarryOut(const Effect::Any& any) {
+  std::visit(
+      [this](const auto& effect) {
+        using Kind = std::decay_t<decltype(effect)>;
+        if constexpr (requires { effect.ticket; }) {
+          CallSink* sink = Find(effect.ticket);
+          if (sink == nullptr)
+            return;
+          if constexpr (std::is_same_v<Kind, Effect::Accepted>)
+            sink->OnAccepted(effect.call);
+          else if constexpr (std::is_same_v<Kind, Effect::Dispatch>)
+            sink->OnDispatch(effect);
+          else if constexpr (std::is_same_v<Kind, Effect::Reject>)
+            sink->OnReject(effect.reason, effect.owner_address);
+          else
+            sink->OnRecorded(effect.answer);
+        } else {
+          m_control->OnEffect(effect);
+        }
+      },
+      any);
+}
+
+}  // namespace sassafras
--- /dev/null
+++ b/libs/entry/src/platform_link.cc
@@ -0,0 +1,241 @@
+#include "platform_link.h"
+
+#include <chrono>
+#include <utility>
+#include <vector>
+
+#include <boost/asio/bind_cancellation_slot.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <fmt/format.h>
+
+#include "base/error.h"
+#include "base/log.h"
+#include "engine.h"
+#include "lists/lists.h"
+#include "lists/lists_document.h"
+#include "peers/fetched_lists.h"
+#include "peers/peer_rpc.h"
+#include "store/config_store.h"
+#include "store/instance_directory.h"
+#include "store/seat_leases.h"
+
+namespace sassafras {
+namespace {
+
+namespace asio = boost::asio;
+
+constexpr std::chrono::milliseconds kWatchPause{500};
+/** Part of a lease that is relied on: clocks of instance and platform run at slightly different rates. */
+constexpr double kLeaseSafety = 0.9;
+
+/** A parsed document, or why it cannot be used. */
+struct ParsedDocument {
+  absl::Status status;
+  uint64_t generation = 0;
+  std::shared_ptr<const Lists> lists;
+};
+
+ParsedDocument ParseDocument(const std::string& text) {
+  ParsedDocument parsed;
+  auto document = DecodeDocument(text);
+  if (!document.ok()) {
+    parsed.status = document.status();
+    return parsed;
+  }
+  parsed.generation = document->generation;
+  auto lists = ParseLists(document->plans_toml, document->upstreams_toml);
+  if (lists.ok())
+    parsed.lists = std::make_shared<const Lists>(*std::move(lists));
+  else
+    parsed.status = lists.status();
+  return parsed;
+}
+
+}  // namespace
+
+PlatformLink::PlatformLink(asio::io_context& context,
+                           Engine& engine,
+                           ConfigStore& store,
+                           InstanceDirectory& directory,
+                           SeatLeases& seats,
+                           PeerRpc& rpc)
+    : m_context(context), m_engine(engine), m_store(store), m_directory(directory), m_seats(seats), m_rpc(rpc) {}
+
+PlatformLink::~PlatformLink() {
+  m_parser.join();
+}
+
+void PlatformLink::NoteResult(bool ok) {
+  ++m_calls;
+  if (!ok)
+    ++m_failures;
+  if (ok == m_reachable)
+    return;
+  m_reachable = ok;
+  Log(ok ? LogLevel::kInfo : LogLevel::kWarning, ok ? "platform_reachable" : "platform_unreachable");
+}
+
+void PlatformLink::Poll() {
+  if (std::exchange(m_polling, true))
+    return;
+  asio::co_spawn(m_context, RunPoll(), asio::detached);
+}
+
+asio::awaitable<void> PlatformLink::RunPoll() {
+  auto value = co_await m_store.Read();
+  NoteResult(value.ok());
+  if (value.ok() && value->exists)
+    co_await TakeDocument(std::move(value->value), true);
+  else if (value.ok())
+    m_engine.Post(Event::StoreConfirmed{m_engine.Now(), 0});
+  auto entries = co_await m_directory.List();
+  NoteResult(entries.ok());
+  if (entries.ok())
+    PostDirectory(*entries);
+  m_polling = false;
+}
+
+void PlatformLink::PostDirectory(const std::vector<DirectoryEntry>& entries) {
+  Event::DirectoryReceived event;
+  event.now = m_engine.Now();
+  for (const DirectoryEntry& entry : entries) {
+    if (entry.kind == DirectoryEntry::Kind::kUpstream) {
+      event.endpoints.push_back({entry.name, entry.incarnation, entry.leaving});
+      continue;
+    }
+    Member member;
+    member.name = entry.name;
+    member.failure_domain = entry.failure_domain;
+    member.address = entry.address;
+    member.peer_address = entry.peer_address;
+    member.leaving = entry.leaving;
+    event.members.push_back(std::move(member));
+  }
+  m_engine.Post(std::move(event));
+}
+
+asio::awaitable<void> PlatformLink::TakeDocument(std::string text, bool from_store) {
+  ParsedDocument parsed;
+  if (text == m_document) {
+    parsed.generation = m_document_generation;
+  } else {
+    // Parsing lists of full size takes milliseconds, which calls on the event loop must not wait for.
+    co_await asio::post(m_parser, asio::use_awaitable);
+    parsed = ParseDocument(text);
+    co_await asio::post(m_context, asio::use_awaitable);
+  }
+  if (!parsed.status.ok()) {
+    Log(LogLevel::kError, "lists_unusable", {{"error", MessageOf(parsed.status)}});
+    co_return;
+  }
+  const bool newer = parsed.lists != nullptr && parsed.generation > m_document_generation;
+  if (newer) {
+    m_document = std::move(text);
+    m_document_generation = parsed.generation;
+    m_rpc.Publish({parsed.generation, m_document});
+    Log(LogLevel::kInfo, "lists_in_force",
+        {{"generation", std::to_string(parsed.generation)}, {"source", from_store ? "platform" : "peer"}});
+    m_engine.Post(Event::ListsReceived{m_engine.Now(), parsed.generation, parsed.lists});
+  }
+  if (from_store)
+    m_engine.Post(Event::StoreConfirmed{m_engine.Now(), parsed.generation});
+}
+
+void PlatformLink::Watch(bool on) {
+  m_watch_on = on;
+  if (on && !std::exchange(m_watch_running, true))
+    asio::co_spawn(m_context, RunWatch(), asio::bind_cancellation_slot(m_watch_stop.slot(), asio::detached));
+  if (!on)
+    m_watch_stop.emit(asio::cancellation_type::terminal);
+}
+
+asio::awaitable<void> PlatformLink::RunWatch() {
+  try {
+    while (m_watch_on) {
+      ++m_calls;
+      co_await m_store.Watch([this](StoredValue value) {
+        asio::co_spawn(m_context, TakeDocument(std::move(value.value), true), asio::detached);
+      });
+      asio::steady_timer pause(m_context, kWatchPause);
+      co_await pause.async_wait(asio::use_awaitable);
+    }
+  } catch (const std::exception&) {
+    // The watch was cancelled.
+  }
+  m_watch_running = false;
+  if (m_watch_on)
+    Watch(true);
+}
+
+void PlatformLink::Restore(uint64_t generation) {
+  if (generation == m_document_generation)
+    asio::co_spawn(m_context, RunRestore(), asio::detached);
+}
+
+asio::awaitable<void> PlatformLink::RunRestore() {
+  auto value = co_await m_store.Read();
+  NoteResult(value.ok());
+  if (!value.ok())
+    co_return;
+  uint64_t stored = 0;
+  if (value->exists) {
+    const auto document = DecodeDocument(value->value);
+    stored = document.ok() ? document->generation : 0;
+  }
+  if (stored >= m_document_generation)
+    co_return;
+  // The compare-and-swap fails if that read was stale or an operator was faster.
+  const auto written = co_await m_store.CompareAndSwap(value->revision, m_document);
+  NoteResult(written.ok());
+  if (written.ok() && *written) {
+    Log(LogLevel::kWarning, "lists_restored",
+        {{"generation", std::to_string(m_document_generation)}, {"store_had", std::to_string(stored)}});
+  }
+}
+
+void PlatformLink::ClaimSeat(uint32_t seat) {
+  if (m_claiming.insert(seat).second)
+    asio::co_spawn(m_context, RunClaim(seat), asio::detached);
+}
+
+asio::awaitable<void> PlatformLink::RunClaim(uint32_t seat) {
+  const TimePoint before = m_engine.Now();
+  const auto held = co_await m_seats.Claim(seat);
+  NoteResult(held.ok());
+  m_claiming.erase(seat);
+  if (!held.ok())
+    co_return;
+  const auto relied = std::chrono::duration_cast<Duration>(m_seats.Ttl() * kLeaseSafety);
+  if (*held)
+    m_engine.Post(Event::SeatGranted{m_engine.Now(), seat, before + relied});
+  else
+    m_engine.Post(Event::SeatRefused{m_engine.Now(), seat});
+}
+
+void PlatformLink::ReleaseSeat(uint32_t seat) {
+  asio::co_spawn(m_context, RunRelease(seat), asio::detached);
+}
+
+asio::awaitable<void> PlatformLink::RunRelease(uint32_t seat) {
+  const absl::Status status = co_await m_seats.Release(seat);
+  NoteResult(status.ok());
+}
+
+void PlatformLink::FetchFrom(const std::string& peer_address) {
+  m_rpc.Fetch(peer_address, m_document_generation, [this](absl::StatusOr<FetchedLists> fetched) {
+    if (!fetched.ok())
+      return;
+    asio::post(m_context, [this, lists = *std::move(fetched)]() mutable {
+      if (lists.document.empty())
+        m_engine.Post(Event::PeerConfirmed{m_engine.Now(), lists.generation});
+      else
+        asio::co_spawn(m_context, TakeDocument(std::move(lists.document), false), asio::detached);
+    });
+  });
+}
+
+}  // namespace sassafras
--- /dev/null
+++ b/libs/lists/include/lists/endpoint.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+namespace sassafras {
+
+/** One `[[endpoint]]` row of `upstreams.toml`. */
+struct Endpoint {
+  std::string name;
+  std::string service;
+  /** IP address and port, such as "127.0.0.1:9001". */
+  std::string address;
+  std::string failure_domain;
+  /** Requests the endpoint runs at once. */
+  uint32_t slots = 1;
+  /** Connections the endpoint accepts from all entry instances together. */
+  uint32_t connections = 1;
+};
+
+}  // namespace sassafras
--- /dev/null
+++ b/libs/net/src/http_client.cc
@@ -0,0 +1,156 @@
+#include "net/http_client.h"
+
+#include <charconv>
+#include <utility>
+
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <fmt/format.h>
+
+#include "base/error.h"
+
+namespace sassafras {
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+using boost::system::error_code;
+
+constexpr uint64_t kMaxReplyBytes = 8u << 20u;
+
+auto Token(error_code& error) {
+  return asio::redirect_error(asio::use_awaitable, error);
+}
+
+absl::Status Unreachable(std::string_view address, const error_code& error) {
+  return MakeError(ErrorKind::kUnreachable, fmt::format("{}: cannot connect: {}", address, error.message()),
+                   "check the address and that the process runs");
+}
+
+absl::Status ReplyLost(std::string_view address, const error_code& error) {
+  return MakeError(ErrorKind::kOutcomeUnknown, fmt::format("{}: reply lost: {}", address, error.message()),
+                   "read the state again to see whether the request took effect");
+}
+
+http::request<http::string_body> MakeRequest(std::string_view address,
+                                             std::string_view method,
+                                             std::string_view target,
+                                             std::string body) {
+  http::request<http::string_body> request;
+  request.method_string(method);
+  request.target(target);
+  request.version(11);
+  request.set(http::field::host, address);
+  request.set(http::field::content_type, "application/json");
+  request.body() = std::move(body);
+  request.prepare_payload();
+  return request;
+}
+
+asio::awaitable<absl::Status> Connect(beast::tcp_stream& stream, const std::string& address) {
+  const auto endpoint = ParseAddress(address);
+  if (!endpoint.ok())
+    co_return endpoint.status();
+  error_code error;
+  co_await stream.async_connect(*endpoint, Token(error));
+  if (error)
+    co_return Unreachable(address, error);
+  stream.socket().set_option(asio::ip::tcp::no_delay(true), error);
+  co_return absl::OkStatus();
+}
+
+/** Hands over whole lines at the front of `pending` and keeps the rest. */
+void TakeLines(std::string& pending, const std::function<void(std::string_view)>& on_line) {
+  size_t start = 0;
+  for (size_t end = pending.find('\n'); end != std::string::npos; end = pending.find('\n', start)) {
+    if (end > start)
+      on_line(std::string_view(pending).substr(start, end - start));
+    start = end + 1;
+  }
+  pending.erase(0, start);
+}
+
+}  // namespace
+
+absl::StatusOr<asio::ip::tcp::endpoint> ParseAddress(std::string_view address) {
+  const size_t colon = address.rfind(':');
+  error_code error;
+  uint16_t port = 0;
+  asio::ip::address ip;
+  if (colon != std::string_view::npos) {
+    ip = asio::ip::make_address(address.substr(0, colon), error);
+    const char* end = address.data() + address.size();
+    const auto parsed = std::from_chars(address.data() + colon + 1, end, port);
+    if (parsed.ec != std::errc() || parsed.ptr != end)
+      error = asio::error::invalid_argument;
+  }
+  if (colon == std::string_view::npos || error) {
+    return MakeError(ErrorKind::kInvalidValue, fmt::format("'{}' is not IP:port", address),
+                     "write it like 10.0.0.7:8080");
+  }
+  return asio::ip::tcp::endpoint(ip, port);
+}
+
+asio::awaitable<absl::StatusOr<HttpReply>> SendHttp(std::string address,
+                                                    std::string method,
+                                                    std::string target,
+                                                    std::string body,
+                                                    std::chrono::milliseconds limit) {
+  beast::tcp_stream stream(co_await asio::this_coro::executor);
+  stream.expires_after(limit);
+  if (absl::Status status = co_await Connect(stream, address); !status.ok())
+    co_return status;
+  http::request<http::string_body> request = MakeRequest(address, method, target, std::move(body));
+  request.keep_alive(false);
+  error_code error;
+  co_await http::async_write(stream, request, Token(error));
+  if (error)
+    co_return ReplyLost(address, error);
+  beast::flat_buffer buffer;
+  http::response_parser<http::string_body> parser;
+  parser.body_limit(kMaxReplyBytes);
+  co_await http::async_read(stream, buffer, parser, Token(error));
+  if (error)
+    co_return ReplyLost(address, error);
+  co_return HttpReply{static_cast<int>(parser.get().result_int()), std::move(parser.get().body())};
+}
+
+asio::awaitable<absl::Status> StreamHttp(std::string address,
+                                         std::string target,
+                                         std::string body,
+                                         std::chrono::milliseconds silence,
+                                         std::function<void(std::string_view)> on_line) {
+  beast::tcp_stream stream(co_await asio::this_coro::executor);
+  stream.expires_after(silence);
+  if (absl::Status status = co_await Connect(stream, address); !status.ok())
+    co_return status;
+  const http::request<http::string_body> request = MakeRequest(address, "POST", target, std::move(body));
+  error_code error;
+  co_await http::async_write(stream, request, Token(error));
+  if (error)
+    co_return ReplyLost(address, error);
+  beast::flat_buffer buffer;
+  http::response_parser<http::buffer_body> parser;
+  parser.body_limit(boost::none);
+  co_await http::async_read_header(stream, buffer, parser, Token(error));
+  std::string pending;
+  constexpr size_t kPiece = 64u << 10u;
+  std::string piece(kPiece, '\0');
+  while (!error && !parser.is_done() && pending.size() < kMaxReplyBytes) {
+    stream.expires_after(silence);
+    parser.get().body().data = piece.data();
+    parser.get().body().size = piece.size();
+    co_await http::async_read_some(stream, buffer, parser, Token(error));
+    if (error == http::error::need_buffer)
+      error = {};
+    pending.append(piece.data(), piece.size() - parser.get().body().size);
+    TakeLines(pending, on_line);
+  }
+  co_return ReplyLost(address, error);
+}
+
+}  // namespace sassafras
--- /dev/null
+++ b/libs/peers/include/peers/gossip_codec.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include <cstddef>
+#include <span>
+#include <string>
+
+#include <absl/status/statusor.h>
+
+namespace sassafras {
+
+struct GossipMessage;
+
+/** Largest gossip datagram, in bytes; longer ones are not sent and not read. */
+constexpr size_t kMaxGossipBytes = 1'400;
+
+/** Serializes a message as packed Cap'n Proto. */
+std::string EncodeGossip(const GossipMessage& message);
+
+/** Parses a datagram from anywhere; bounds what it may make the reader allocate. */
+absl::StatusOr<GossipMessage> DecodeGossip(std::span<const std::byte> datagram);
+
+}  // namespace sassafras
--- /dev/null
+++ b/libs/peers/src/gossip_codec.cc
@@ -0,0 +1,138 @@
+#include "peers/gossip_codec.h"
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+#include <capnp/message.h>
+#include <capnp/serialize-packed.h>
+#include <kj/exception.h>
+#include <kj/io.h>
+
+#include "base/error.h"
+#include "core/gossip_message.h"
+#include "generated/peer.capnp.h"
+
+namespace sassafras {
+namespace {
+
+using std::chrono::milliseconds;
+
+/** Words that reading one datagram may visit, and how deep it may nest. */
+constexpr uint64_t kReadLimitWords = 4'096;
+constexpr int kNestingLimit = 8;
+constexpr size_t kMaxItems = 64;
+constexpr size_t kMaxNameBytes = 128;
+constexpr milliseconds kMaxLifetime = std::chrono::hours(1);
+
+absl::Status BadDatagram(std::string_view what) {
+  return MakeError(ErrorKind::kInvalidValue, what, "check that only entry instances send to the peer address");
+}
+
+void WriteMember(const Member& member, wire::Member::Builder out) {
+  out.setName(member.name);
+  out.setFailureDomain(member.failure_domain);
+  out.setAddress(member.address);
+  out.setPeerAddress(member.peer_address);
+  out.setIncarnation(member.incarnation);
+  out.setHeartbeat(member.heartbeat);
+  out.setEpoch(member.epoch);
+  out.setLeaving(member.leaving);
+}
+
+/** Reads a text and refuses one that is too long. */
+std::string ReadText(capnp::Text::Reader text) {
+  KJ_REQUIRE(text.size() <= kMaxNameBytes, "text too long");
+  return {text.begin(), text.size()};
+}
+
+Member ReadMember(wire::Member::Reader in) {
+  Member member;
+  member.name = ReadText(in.getName());
+  member.failure_domain = ReadText(in.getFailureDomain());
+  member.address = ReadText(in.getAddress());
+  member.peer_address = ReadText(in.getPeerAddress());
+  member.incarnation = in.getIncarnation();
+  member.heartbeat = in.getHeartbeat();
+  member.epoch = in.getEpoch();
+  member.leaving = in.getLeaving();
+  KJ_REQUIRE(!member.name.empty(), "member without a name");
+  return member;
+}
+
+GossipMessage::Rumor ReadRumor(wire::Rumor::Reader in) {
+  KJ_REQUIRE(in.getKind() <= wire::Rumor::Kind::QUARANTINE, "unknown kind of rumor");
+  GossipMessage::Rumor rumor;
+  rumor.kind = static_cast<GossipMessage::Rumor::Kind>(in.getKind());
+  rumor.subject = in.getSubject();
+  rumor.detail = in.getDetail();
+  rumor.lifetime = std::min(milliseconds(in.getLifetimeMillis()), kMaxLifetime);
+  return rumor;
+}
+
+GossipMessage ReadGossip(wire::Gossip::Reader in) {
+  GossipMessage message;
+  message.sender = ReadMember(in.getSender());
+  message.generation = in.getGeneration();
+  constexpr uint64_t kMaxAge = 1'000'000'000;
+  message.store_age = milliseconds(std::min<uint64_t>(in.getStoreAgeMillis(), kMaxAge));
+  const size_t items = in.getRumors().size() + in.getLoads().size() + in.getMembers().size();
+  KJ_REQUIRE(items <= kMaxItems, "too many items");
+  for (const wire::Rumor::Reader rumor : in.getRumors())
+    message.rumors.push_back(ReadRumor(rumor));
+  for (const wire::EndpointLoad::Reader load : in.getLoads())
+    message.loads.push_back({load.getEndpoint(), load.getInFlight(), milliseconds(load.getAgeMillis())});
+  for (const wire::Member::Reader member : in.getMembers())
+    message.members.push_back(ReadMember(member));
+  return message;
+}
+
+}  // namespace
+
+std::string EncodeGossip(const GossipMessage& message) {
+  capnp::MallocMessageBuilder builder;
+  auto gossip = builder.initRoot<wire::Gossip>();
+  WriteMember(message.sender, gossip.initSender());
+  gossip.setGeneration(message.generation);
+  gossip.setStoreAgeMillis(static_cast<uint64_t>(std::max<int64_t>(0, message.store_age.count())));
+  auto rumors = gossip.initRumors(static_cast<uint32_t>(message.rumors.size()));
+  for (uint32_t i = 0; i < rumors.size(); ++i) {
+    const GossipMessage::Rumor& rumor = message.rumors[i];
+    rumors[i].setKind(static_cast<wire::Rumor::Kind>(rumor.kind));
+    rumors[i].setSubject(rumor.subject);
+    rumors[i].setDetail(rumor.detail);
+    rumors[i].setLifetimeMillis(static_cast<uint32_t>(rumor.lifetime.count()));
+  }
+  auto loads = gossip.initLoads(static_cast<uint32_t>(message.loads.size()));
+  for (uint32_t i = 0; i < loads.size(); ++i) {
+    loads[i].setEndpoint(message.loads[i].endpoint);
+    loads[i].setInFlight(message.loads[i].in_flight);
+    loads[i].setAgeMillis(static_cast<uint32_t>(message.loads[i].age.count()));
+  }
+  auto members = gossip.initMembers(static_cast<uint32_t>(message.members.size()));
+  for (uint32_t i = 0; i < members.size(); ++i)
+    WriteMember(message.members[i], members[i]);
+  kj::VectorOutputStream output;
+  capnp::writePackedMessage(output, builder);
+  const auto bytes = output.getArray();
+  return {reinterpret_cast<const char*>(bytes.begin()), bytes.size()};
+}
+
+absl::StatusOr<GossipMessage> DecodeGossip(std::span<const std::byte> datagram) {
+  if (datagram.size() > kMaxGossipBytes)
+    return BadDatagram("gossip datagram too long");
+  GossipMessage message;
+  const kj::Maybe<kj::Exception> failure = kj::runCatchingExceptions([&] {
+    kj::ArrayInputStream input(kj::arrayPtr(reinterpret_cast<const kj::byte*>(datagram.data()), datagram.size()));
+    capnp::ReaderOptions options;
+    options.traversalLimitInWords = kReadLimitWords;
+    options.nestingLimit = kNestingLimit;
+    capnp::PackedMessageReader reader(input, options);
+    message = ReadGossip(reader.getRoot<wire::Gossip>());
+  });
+  if (failure != nullptr)
+    return BadDatagram("gossip datagram malformed");
+  return message;
+}
+
+}  // namespace sassafras
--- /dev/null
+++ b/libs/settings/src/settings.cc
@@ -0,0 +1,62 @@
+#include "settings/settings.h"
+
+#include <array>
+
+#include "base/toml_reader.h"
+
+namespace sassafras {
+namespace {
+
+using std::chrono::microseconds;
+using namespace std::chrono_literals;
+
+constexpr std::array<std::string_view, 6> kSelections = {"random",       "round_robin", "least_in_flight",
+                                                         "power_of_two", "peak_ewma",   "hot_cold"};
+constexpr size_t kDefaultSelection = 5;
+constexpr microseconds kDefaultAddressTtl = 5s;
+constexpr microseconds kDefaultConnectTimeout = 250ms;
+constexpr microseconds kDefaultStopLimit = 60s;
+constexpr int64_t kDefaultQueueLimit = 512;
+constexpr int64_t kDefaultCallerConnections = 4'096;
+constexpr int64_t kDefaultFleetLimit = 24;
+constexpr int64_t kDefaultRecordLimit = 65'536;
+
+}  // namespace
+
+absl::StatusOr<Settings> ParseSettings(std::string_view text, std::string_view file_name) {
+  absl::StatusOr<toml::table> table = ParseToml(text, file_name);
+  if (!table.ok())
+    return table.status();
+  TomlReader reader(*table, std::string(file_name));
+  Settings settings;
+  settings.instance = reader.String("instance");
+  settings.failure_domain = reader.String("failure_domain");
+  settings.listen = reader.String("listen");
+  settings.peer_listen = reader.String("peer_listen");
+  settings.platform = reader.StringsOr("platform");
+  settings.seed_peers = reader.StringsOr("seed_peers");
+  settings.selection = kSelections[reader.Word("selection", kSelections, kDefaultSelection)];
+  settings.address_ttl = reader.DurationOr("address_ttl", 100ms, 10min, kDefaultAddressTtl);
+  settings.connect_timeout = reader.DurationOr("connect_timeout", 1ms, 10s, kDefaultConnectTimeout);
+  settings.stop_limit = reader.DurationOr("stop_limit", 1s, 60min, kDefaultStopLimit);
+  settings.queue_limit = static_cast<uint32_t>(reader.IntegerOr("queue_limit", 0, 1'000'000, kDefaultQueueLimit));
+  settings.caller_connections =
+      static_cast<uint32_t>(reader.IntegerOr("caller_connections", 1, 1'000'000, kDefaultCallerConnections));
+  settings.fleet_limit = static_cast<uint32_t>(reader.IntegerOr("fleet_limit", 1, 10'000, kDefaultFleetLimit));
+  settings.record_limit = static_cast<uint32_t>(reader.IntegerOr("record_limit", 1, 10'000'000, kDefaultRecordLimit));
+  settings.probing = reader.Word("probing", {"on", "off"}, 0) == 0;
+  settings.hedging = reader.Word("hedging", {"on", "off"}, 0) == 0;
+  settings.late_binding = reader.Word("late_binding", {"on", "off"}, 0) == 0;
+  if (absl::Status status = reader.Finish(); !status.ok())
+    return status;
+  return settings;
+}
+
+absl::StatusOr<Settings> LoadSettings(const std::string& path) {
+  absl::StatusOr<std::string> text = ReadFile(path);
+  if (!text.ok())
+    return text.status();
+  return ParseSettings(*text, path);
+}
+
+}  // namespace sassafras
--- /dev/null
+++ b/libs/store/include/store/etcd_client.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include <absl/status/status.h>
+#include <absl/status/statusor.h>
+#include <boost/asio/awaitable.hpp>
+#include <boost/json/value.hpp>
+
+#include "store/config_store.h"
+#include "store/instance_directory.h"
+#include "store/seat_leases.h"
+
+namespace sassafras {
+
+/** Key of the lists, prefix of the seats and prefix of the instance list in the platform's service. */
+constexpr std::string_view kListsKey = "/sassafras/lists";
+constexpr std::string_view kSeatPrefix = "/sassafras/probe-seats/";
+constexpr std::string_view kInstancePrefix = "/platform/instances/";
+
+/**
+ * Client of the platform's key-value service over the published etcd v3 JSON gateway.
+ * Tries the given addresses in turn when one cannot be reached. For one thread.
+ */
+class EtcdClient final : public ConfigStore, public SeatLeases, public InstanceDirectory {
+ public:
+  /**
+   * @param addresses  IP:port of each gateway
+   * @param holder     name written into seats that this process claims
+   */
+  EtcdClient(std::vector<std::string> addresses, std::string holder);
+
+  boost::asio::awaitable<absl::StatusOr<StoredValue>> Read() override;
+  boost::asio::awaitable<absl::StatusOr<bool>> CompareAndSwap(int64_t expected_revision, std::string value) override;
+  boost::asio::awaitable<absl::Status> Watch(std::function<void(StoredValue)> on_change) override;
+  boost::asio::awaitable<absl::StatusOr<bool>> Claim(uint32_t seat) override;
+  boost::asio::awaitable<absl::Status> Release(uint32_t seat) override;
+  std::chrono::seconds Ttl() const override;
+  boost::asio::awaitable<absl::StatusOr<std::vector<DirectoryEntry>>> List() override;
+
+ private:
+  boost::asio::awaitable<absl::StatusOr<boost::json::value>> Call(std::string target, boost::json::value body);
+  boost::asio::awaitable<absl::StatusOr<bool>> Renew(uint32_t seat);
+  boost::asio::awaitable<absl::StatusOr<bool>> Acquire(uint32_t seat);
+  boost::asio::awaitable<absl::Status> Revoke(std::string lease);
+
+  std::vector<std::string> m_addresses;
+  std::string m_holder;
+  size_t m_current = 0;
+  /** Lease of each seat held. */
+  std::map<uint32_t, std::string> m_held;
+};
+
+}  // namespace sassafras
--- /dev/null
+++ b/libs/store/include/store/stored_value.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+namespace sassafras {
+
+/** A value read from the platform's store. */
+struct StoredValue {
+  bool exists = false;
+  /** Revision of the last change of the key; 0 if it does not exist. */
+  int64_t revision = 0;
+  std::string value;
+};
+
+}  // namespace sassafras
--- /dev/null
+++ b/tools/caller/load.h
@@ -0,0 +1,81 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http.hpp>
+#include <boost/json/object.hpp>
+
+#include "address_book.h"
+#include "call_log.h"
+#include "flow.h"
+#include "flow_result.h"
+#include "load_options.h"
+
+namespace sassafras {
+
+/** Open-loop load: calls start when they are due, whatever became of earlier ones. */
+class Load {
+ public:
+  Load(boost::asio::io_context& context, const LoadOptions& options);
+  ~Load();
+
+  /** Sends the whole load and waits for the last answer. */
+  boost::asio::awaitable<void> Run();
+  boost::json::object Result();
+  /** Whether an answer was not the whole answer to its own request. */
+  bool HasWrongAnswers() const;
+
+ private:
+  struct Connection;
+  /** One request with what it takes to check its answer. */
+  struct Call {
+    size_t flow = 0;
+    std::string id;
+    std::string key;
+    std::string body;
+    std::chrono::microseconds work{};
+    std::chrono::steady_clock::time_point due;
+    AddressBook::Entry target;
+    bool lose_answer = false;
+  };
+  /** What one send brought. */
+  struct Reply {
+    std::string outcome;
+    std::string location;
+    bool whole = false;
+  };
+
+  boost::asio::awaitable<void> RunFlow(size_t flow);
+  boost::asio::awaitable<void> RunCall(Call call);
+  boost::asio::awaitable<Reply> Send(Call& call);
+  boost::asio::awaitable<Reply> Exchange(Call& call, std::unique_ptr<Connection>& connection);
+  boost::asio::awaitable<std::unique_ptr<Connection>> Connect(std::string address);
+  boost::beast::http::request<boost::beast::http::string_body> MakeRequest(const Call& call) const;
+  Reply Judge(const Call& call, const boost::beast::http::response<boost::beast::http::string_body>& answer) const;
+  Call MakeCall(size_t flow, std::mt19937_64& random, uint64_t number);
+  double RateAt(const Flow& flow, std::chrono::steady_clock::time_point now) const;
+
+  boost::asio::io_context& m_context;
+  const LoadOptions m_options;
+  AddressBook m_addresses;
+  CallLog m_log;
+  std::map<std::string, std::vector<std::unique_ptr<Connection>>> m_idle;
+  std::vector<FlowResult> m_results;
+  std::chrono::steady_clock::time_point m_start;
+  std::chrono::steady_clock::time_point m_end;
+  size_t m_open = 0;
+  uint64_t m_sends = 0;
+  std::chrono::microseconds m_worst_start_delay{0};
+};
+
+}  // namespace sassafras
--- /dev/null
+++ b/tools/caller/main.cc
@@ -0,0 +1,85 @@
+#include <chrono>
+#include <csignal>
+#include <cstdio>
+#include <string>
+#include <vector>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/json.hpp>
+#include <fmt/format.h>
+
+#include "../common/arguments.h"
+#include "base/error.h"
+#include "load.h"
+
+namespace {
+
+constexpr int kExitUsage = 2;
+constexpr int kExitWrongAnswers = 6;
+
+bool ReadOptions(int argc, const char** argv, sassafras::LoadOptions& options, std::string& output) {
+  std::vector<std::string> flows;
+  int64_t seconds = 5;
+  int64_t warmup_ms = options.warmup.count();
+  int64_t seed = 1;
+  sassafras::Arguments arguments("caller");
+  arguments.Texts("entry", &options.entries, "IP:port of an entry instance to ask for addresses; may be repeated");
+  arguments.Flag("direct", &options.direct, "send to the --entry addresses themselves, without asking");
+  arguments.Texts("flow", &flows,
+                  "name=..,path=..,rate=..[,method=,work-us=,fixed-work=,stragglers=,straggler-factor=,deadline-ms=,"
+                  "answer-bytes=,request-bytes=,keyed=,resend=,swings=,fault=]; may be repeated");
+  arguments.Integer("seconds", &seconds, "length of the load");
+  arguments.Integer("warmup-ms", &warmup_ms, "time at first in which calls are not counted");
+  arguments.Number("swing", &options.swing, "rate multiplier in the middle third");
+  arguments.Integer("seed", &seed, "seed of arrivals and work");
+  arguments.Integer("max-sends", &options.max_sends, "sends of one call at most");
+  arguments.Text("log", &options.log_path, "file that gets a line for each send");
+  arguments.Text("output", &output, "file for the JSON result; standard output without it");
+  if (!arguments.Parse(argc, argv))
+    return false;
+  for (const std::string& text : flows) {
+    auto flow = sassafras::ParseFlow(text);
+    if (!flow.ok()) {
+      fmt::print(stderr, "caller: {}\n", sassafras::MessageOf(flow.status()));
+      return false;
+    }
+    options.flows.push_back(*std::move(flow));
+  }
+  options.length = std::chrono::seconds(seconds);
+  options.warmup = std::chrono::milliseconds(warmup_ms);
+  options.seed = static_cast<uint64_t>(seed);
+  if (!options.entries.empty() && !options.flows.empty())
+    return true;
+  fmt::print(stderr, "caller: at least one --entry and one --flow are required; see 'caller --help'\n");
+  return false;
+}
+
+bool WriteResult(const std::string& path, const std::string& text) {
+  std::FILE* file = path.empty() ? stdout : std::fopen(path.c_str(), "w");
+  if (file == nullptr) {
+    fmt::print(stderr, "caller: {}: cannot be written; name a file in a folder that exists\n", path);
+    return false;
+  }
+  std::fputs(text.c_str(), file);
+  if (file != stdout)
+    std::fclose(file);
+  return true;
+}
+
+}  // namespace
+
+int main(int argc, const char** argv) {
+  sassafras::LoadOptions options;
+  std::string output;
+  if (!ReadOptions(argc, argv, options, output))
+    return kExitUsage;
+  std::signal(SIGPIPE, SIG_IGN);
+  boost::asio::io_context context(1);
+  sassafras::Load load(context, options);
+  boost::asio::co_spawn(context, load.Run(), [&context](const std::exception_ptr&) { context.stop(); });
+  context.run();
+  if (!WriteResult(output, boost::json::serialize(load.Result()) + "\n"))
+    return kExitUsage;
+  return load.HasWrongAnswers() ? kExitWrongAnswers : 0;
+}
--- /dev/null
+++ b/tools/common/http_service.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include <functional>
+#include <string>
+
+#include <absl/status/status.h>
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http.hpp>
+
+namespace sassafras {
+
+/** A small HTTP/1.1 server for stand-ins: one handler for all requests. */
+class HttpService {
+ public:
+  using Request = boost::beast::http::request<boost::beast::http::string_body>;
+  using Response = boost::beast::http::response<boost::beast::http::string_body>;
+  /**
+   * Serves one request by writing to the stream; returns whether the connection may be kept.
+   */
+  using Handler = std::function<boost::asio::awaitable<bool>(const Request&, boost::beast::tcp_stream&)>;
+
+  HttpService(boost::asio::io_context& context, Handler handler);
+
+  /** Listens at IP:port and starts to serve. */
+  absl::Status Listen(const std::string& address);
+  /** Accepts no more connections; open ones go on. */
+  void StopListening();
+  size_t Connections() const { return m_connections; }
+
+ private:
+  boost::asio::awaitable<void> Accept();
+  boost::asio::awaitable<void> Serve(boost::asio::ip::tcp::socket socket);
+
+  boost::asio::io_context& m_context;
+  Handler m_handler;
+  boost::asio::ip::tcp::acceptor m_acceptor;
+  size_t m_connections = 0;
+};
+
+/** Writes a whole response; returns whether the connection may be kept. */
+boost::asio::awaitable<bool> WriteResponse(boost::beast::tcp_stream& stream, HttpService::Response response);
+
+/** Makes a response to the request with a body and its length set. */
+HttpService::Response MakeResponse(const HttpService::Request& request, int status, std::string body);
+
+}  // namespace sassafras
--- /dev/null
+++ b/tools/platform_standin/platform.h
@@ -0,0 +1,83 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <list>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/json/object.hpp>
+
+#include "../common/http_service.h"
+#include "key_value.h"
+
+namespace sassafras {
+
+/**
+ * Stand-in for the platform's key-value service and list of instances: the part of the etcd v3 JSON gateway
+ * that the product uses, and a page to make it fail.
+ */
+class Platform {
+ public:
+  /** @param directory_lag  age of the instance list that is served */
+  Platform(boost::asio::io_context& context, std::chrono::milliseconds directory_lag);
+  absl::Status Start(const std::string& address);
+
+ private:
+  using Request = HttpService::Request;
+  using Json = boost::json::object;
+  struct Lease {
+    std::chrono::seconds ttl{};
+    std::chrono::steady_clock::time_point until;
+  };
+  struct Watcher {
+    std::string key;
+    std::deque<std::string> lines;
+    std::shared_ptr<boost::asio::steady_timer> wake;
+  };
+  struct Snapshot {
+    std::chrono::steady_clock::time_point at;
+    KeyMap keys;
+  };
+
+  boost::asio::awaitable<bool> Handle(const Request& request, boost::beast::tcp_stream& stream);
+  boost::asio::awaitable<bool> HandleWatch(const Request& request, boost::beast::tcp_stream& stream);
+  Json Range(const Json& body);
+  Json Txn(const Json& body);
+  Json Grant(const Json& body);
+  Json KeepAlive(const Json& body);
+  Json Revoke(const Json& body);
+  /** Pages of the stand-in itself, under /standin/. */
+  HttpService::Response Control(const Request& request);
+  void Put(const std::string& key, const std::string& value, int64_t lease);
+  void Erase(const std::string& key);
+  void Notify(const std::string& key);
+  void ExpireLeases();
+  const KeyMap& KeysFor(const std::string& key) const;
+  void ScheduleSweep();
+  Json Header() const;
+
+  boost::asio::io_context& m_context;
+  HttpService m_service;
+  boost::asio::steady_timer m_sweep;
+  std::chrono::milliseconds m_directory_lag;
+  KeyMap m_keys;
+  KeyMap m_saved;
+  std::deque<Snapshot> m_history;
+  std::map<int64_t, Lease> m_leases;
+  std::list<std::shared_ptr<Watcher>> m_watchers;
+  int64_t m_revision = 1;
+  int64_t m_last_lease = 7'000;
+  std::string m_mode = "up";
+  std::chrono::milliseconds m_slow{0};
+  std::map<std::string, uint64_t> m_calls;
+};
+
+}  // namespace sassafras
--- /dev/null
+++ b/tools/upstream_standin/upstream_options.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+
+namespace sassafras {
+
+/** How a stand-in endpoint behaves. */
+struct UpstreamOptions {
+  std::string name;
+  std::string listen;
+  /** File that gets a line for each run and probe; empty for none. */
+  std::string log_path;
+  int64_t slots = 6;
+  /** Requests that wait for a slot; more are refused. */
+  int64_t queue = 64;
+  std::chrono::microseconds probe_time{1'000};
+  /** One-way delay to the entry instances, added before and after each request. */
+  std::chrono::microseconds delay{0};
+  /** Mean time between noisy episodes (0: none), their length, and how much slower work is in them. */
+  std::chrono::milliseconds noise_every{0};
+  std::chrono::milliseconds noise_length{40};
+  double noise_factor = 5.0;
+  /** Work is slower by up to this factor for this long after the start. */
+  std::chrono::milliseconds cold_time{0};
+  double cold_factor = 4.0;
+  /** Age of the load that is reported. */
+  std::chrono::milliseconds report_lag{0};
+  uint64_t seed = 1;
+};
+
+}  // namespace sassafras
