Hold calls after a pause until peers confirm what is known

A second cause (test 'a returning endpoint is used again'): only the prober learned of an endpoint's new incarnation, so other instances kept it marked as leaving.

Change: every event checks for a pause first; a resumed instance asks two peers for all they know by a numbered question and holds calls until an answer confirms its lists, at most 1 s. That an endpoint is back is spread like that it leaves.

Ruled out: ending the hold on any datagram of a peer: the socket buffer holds old ones. Ending it on the store's answer alone: the store knows nothing of leaving endpoints.

Conclusion: knowledge of peers is part of what a pause makes stale.

--- a/libs/core/include/core/event.h
+++ b/libs/core/include/core/event.h
@@ -55,11 +55,6 @@
     TimePoint now;
     uint64_t generation = 0;
   };
-  /** A peer answered a request for lists and holds none above `generation`. */
-  struct PeerConfirmed {
-    TimePoint now;
-    uint64_t generation = 0;
-  };
   /** The platform's list of entry instances and of endpoints that leave. */
   struct DirectoryReceived {
     struct EndpointMark {
@@ -136,7 +131,6 @@
 
   using Any = std::variant<ListsReceived,
                            StoreConfirmed,
-                           PeerConfirmed,
                            DirectoryReceived,
                            GossipReceived,
                            CallArrived,
--- a/libs/core/include/core/gossip_message.h
+++ b/libs/core/include/core/gossip_message.h
@@ -13,11 +13,11 @@
 struct GossipMessage {
   /** A fact that every instance should learn quickly. */
   struct Rumor {
-    enum class Kind : uint8_t { kLeaving, kSuspect, kQuarantine };
+    enum class Kind : uint8_t { kLeaving, kSuspect, kQuarantine, kReturned };
     Kind kind = Kind::kLeaving;
-    /** Endpoint name hash for kLeaving, else request fingerprint. */
+    /** Endpoint name hash for kLeaving and kReturned, else request fingerprint. */
     uint64_t subject = 0;
-    /** Endpoint incarnation for kLeaving, endpoint name hash for kSuspect. */
+    /** Endpoint incarnation for kLeaving and kReturned, endpoint name hash for kSuspect. */
     uint64_t detail = 0;
     /** Time until the fact lapses. */
     std::chrono::milliseconds lifetime{};
@@ -33,6 +33,9 @@
   uint64_t generation = 0;
   /** Age of the newest proof, seen by anyone, that the store held no higher generation. */
   std::chrono::milliseconds store_age{};
+  /** Not 0: the receiver shall answer at once with all it knows, repeating the number in `reply_to`. */
+  uint64_t ask = 0;
+  uint64_t reply_to = 0;
   std::vector<Rumor> rumors;
   std::vector<EndpointLoad> loads;
   /** A few other members, so that joins and heartbeats spread. */
--- a/libs/core/src/control.cc
+++ b/libs/core/src/control.cc
@@ -108,20 +108,14 @@
   }
 }
 
-/** After a pause nothing that this instance believes can be trusted until someone confirms it. */
+/** After a pause nothing that this instance believes can be trusted until others confirm it. */
 void OnResumed(Parts& parts, Duration pause, TimePoint now, Effects& effects) {
   parts.members.AddPause(pause);
   if (parts.phase == Phase::kStarting)
     return;
   parts.lists.revalidate_until = now + kRevalidateLimit;
   Poll(parts, now, effects);
-  constexpr size_t kPeersAsked = 2;
-  AskPeersForLists(parts, kPeersAsked, effects);
-}
-
-void EndRevalidation(Parts& parts, uint64_t generation) {
-  if (generation <= parts.lists.generation)
-    parts.lists.revalidate_until = {};
+  AskPeers(parts, now, effects);
 }
 
 void RefreshRoles(Parts& parts, TimePoint now, Effects& effects) {
@@ -138,6 +132,13 @@
     AskPeersForLists(parts, 1, effects);
 }
 
+/** The store confirmed the lists; what else is new only peers can tell, if there are any. */
+void ConfirmByStore(Parts& parts, TimePoint now) {
+  const bool alone = parts.members.CountServing(now) <= 1;
+  if (alone)
+    parts.lists.revalidate_until = {};
+}
+
 void CloseIfDue(Parts& parts, TimePoint now, Effects& effects) {
   if (parts.phase != Phase::kLeaving || now < parts.close_at)
     return;
@@ -154,15 +155,15 @@
   ApplyLists(parts, *event.lists, event.now);
   if (parts.phase == Phase::kStarting)
     parts.phase = Phase::kServing;
-  parts.lists.revalidate_until = {};
   for (ServiceState& service : parts.services)
     PumpQueues(parts, service, event.now, effects);
   parts.gossip_now = true;
 }
 
 void OnStoreConfirmed(Parts& parts, const Event::StoreConfirmed& event, Effects& effects) {
-  EndRevalidation(parts, event.generation);
   ListsTracker& lists = parts.lists;
+  if (event.generation <= lists.generation)
+    ConfirmByStore(parts, event.now);
   if (event.generation <= lists.generation)
     lists.store_confirmed_at = event.now;
   const bool older = event.generation < lists.generation;
@@ -172,10 +173,6 @@
   effects.push_back(Effect::RestoreLists{lists.generation});
 }
 
-void OnPeerConfirmed(Parts& parts, const Event::PeerConfirmed& event, Effects& /*effects*/) {
-  EndRevalidation(parts, event.generation);
-}
-
 void OnDirectoryReceived(Parts& parts, const Event::DirectoryReceived& event, Effects& /*effects*/) {
   parts.members.Listed(event.members, event.now);
   for (const auto& mark : event.endpoints) {
@@ -185,7 +182,7 @@
     if (mark.leaving)
       NoteLeaving(parts, endpoint, mark.incarnation, event.now);
     else
-      parts.endpoints.SawIncarnation(endpoint, mark.incarnation, event.now);
+      NoteAlive(parts, endpoint, mark.incarnation, event.now);
   }
 }
 
@@ -206,11 +203,17 @@
   parts.probes.Release(event.seat);
 }
 
+void NotePause(Parts& parts, TimePoint now, Effects& effects) {
+  const bool paused = parts.last_tick != TimePoint() && now - parts.last_tick > kPauseLimit;
+  if (!paused)
+    return;
+  const Duration pause = now - parts.last_tick;
+  parts.last_tick = now;
+  OnResumed(parts, pause, now, effects);
+}
+
 void OnTick(Parts& parts, const Event::Tick& event, Effects& effects) {
   const TimePoint now = event.now;
-  const bool paused = parts.last_tick != TimePoint() && now - parts.last_tick > kPauseLimit;
-  if (paused)
-    OnResumed(parts, now - parts.last_tick, now, effects);
   parts.last_tick = now;
   for (ServiceState& service : parts.services) {
     ExpireWaiting(parts, service, now, effects);
--- a/libs/core/src/control.h
+++ b/libs/core/src/control.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "base/clock.h"
 #include "core/effect.h"
 #include "core/event.h"
 
@@ -7,10 +8,12 @@
 
 struct Parts;
 
+/** Recognises that this process was paused, and if so holds calls until its knowledge is confirmed. */
+void NotePause(Parts& parts, TimePoint now, Effects& effects);
+
 /** Sub-reducers for lists, membership, probing and the life of the instance. */
 void OnListsReceived(Parts& parts, const Event::ListsReceived& event, Effects& effects);
 void OnStoreConfirmed(Parts& parts, const Event::StoreConfirmed& event, Effects& effects);
-void OnPeerConfirmed(Parts& parts, const Event::PeerConfirmed& event, Effects& effects);
 void OnDirectoryReceived(Parts& parts, const Event::DirectoryReceived& event, Effects& effects);
 void OnProbeEnded(Parts& parts, const Event::ProbeEnded& event, Effects& effects);
 void OnSeatGranted(Parts& parts, const Event::SeatGranted& event, Effects& effects);
--- a/libs/core/src/endpoint_news.cc
+++ b/libs/core/src/endpoint_news.cc
@@ -7,7 +7,7 @@
 namespace sassafras {
 namespace {
 
-/** How long a leaving mark is spread. */
+/** How long it is spread that an endpoint leaves or is back. */
 constexpr std::chrono::minutes kLeavingLifetime{10};
 
 }  // namespace
@@ -19,7 +19,7 @@
 
 void LearnFromReport(Parts& parts, EndpointHandle endpoint, const LoadReport& load, TimePoint now) {
   EndpointState& state = parts.At(endpoint);
-  parts.endpoints.SawIncarnation(endpoint, load.incarnation, now);
+  NoteAlive(parts, endpoint, load.incarnation, now);
   if (load.draining)
     NoteLeaving(parts, endpoint, load.incarnation, now);
   parts.endpoints.ApplyReport(endpoint, load, now);
@@ -29,6 +29,13 @@
   UpdateAverage(parts.At(state.service).others_load, static_cast<float>(others));
 }
 
+void NoteAlive(Parts& parts, EndpointHandle endpoint, uint64_t incarnation, TimePoint now) {
+  if (!parts.endpoints.SawIncarnation(endpoint, incarnation, now))
+    return;
+  using Kind = GossipMessage::Rumor::Kind;
+  SpreadRumor(parts, {Kind::kReturned, parts.At(endpoint).name_hash, incarnation, kLeavingLifetime}, now);
+}
+
 void NoteLeaving(Parts& parts, EndpointHandle endpoint, uint64_t incarnation, TimePoint now) {
   if (!parts.endpoints.MarkLeaving(endpoint, incarnation))
     return;
--- a/libs/core/src/endpoint_news.h
+++ b/libs/core/src/endpoint_news.h
@@ -17,6 +17,9 @@
 /** Takes in a load report of an endpoint, with the incarnation and drain mark that it carries. */
 void LearnFromReport(Parts& parts, EndpointHandle endpoint, const LoadReport& load, TimePoint now);
 
+/** Takes in that an incarnation of an endpoint is alive, and spreads it if the endpoint is back after it left. */
+void NoteAlive(Parts& parts, EndpointHandle endpoint, uint64_t incarnation, TimePoint now);
+
 /** Takes in that an incarnation of an endpoint leaves, and spreads it if that is new. */
 void NoteLeaving(Parts& parts, EndpointHandle endpoint, uint64_t incarnation, TimePoint now);
 
--- a/libs/core/src/endpoint_table.cc
+++ b/libs/core/src/endpoint_table.cc
@@ -75,20 +75,22 @@
   return fresh;
 }
 
-void EndpointTable::SawIncarnation(EndpointHandle handle, uint64_t incarnation, TimePoint now) {
+bool EndpointTable::SawIncarnation(EndpointHandle handle, uint64_t incarnation, TimePoint now) {
   EndpointState& state = m_states[handle.Index()];
   if (incarnation <= state.incarnation)
-    return;
+    return false;
   // The first incarnation that is ever seen of an endpoint is no restart.
   const bool restarted = state.incarnation != 0;
   state.incarnation = incarnation;
   if (!restarted)
-    return;
+    return false;
+  const bool was_leaving = state.leaving;
   state.leaving = false;
   state.ramp_start = now;
   state.consecutive_failures = 0;
   state.ejected_until = {};
   state.latency_us = 0;
+  return was_leaving;
 }
 
 void EndpointTable::ApplyReport(EndpointHandle handle, const LoadReport& report, TimePoint now) {
--- a/libs/core/src/endpoint_table.h
+++ b/libs/core/src/endpoint_table.h
@@ -40,8 +40,9 @@
   /**
    * Records that `incarnation` is alive. An incarnation known to leave stays so; a newer one starts
    * with a ramp.
+   * @return whether an endpoint that was leaving is back
    */
-  void SawIncarnation(EndpointHandle handle, uint64_t incarnation, TimePoint now);
+  bool SawIncarnation(EndpointHandle handle, uint64_t incarnation, TimePoint now);
 
   /** Applies a load report; its drain mark is not looked at. */
   void ApplyReport(EndpointHandle handle, const LoadReport& report, TimePoint now);
--- a/libs/core/src/gossip.cc
+++ b/libs/core/src/gossip.cc
@@ -19,6 +19,9 @@
 /** Peers told in one round. */
 constexpr size_t kFanout = 2;
 constexpr size_t kRumorsPerMessage = 8;
+constexpr size_t kRumorsPerReply = 24;
+/** Peers asked after a pause. */
+constexpr size_t kPeersAsked = 2;
 constexpr size_t kMembersPerMessage = 3;
 constexpr size_t kLoadsPerMessage = 8;
 /** One round in this many goes to a peer that has been silent, so that parted regions find each other. */
@@ -78,17 +81,28 @@
   }
 }
 
-std::shared_ptr<GossipMessage> MakeMessage(Parts& parts, TimePoint now) {
+std::shared_ptr<GossipMessage> MakeMessage(Parts& parts, size_t rumors, TimePoint now) {
   auto message = std::make_shared<GossipMessage>();
   message->sender = parts.self;
   message->generation = parts.lists.generation;
   message->store_age = duration_cast<milliseconds>(now - parts.lists.store_confirmed_at);
-  parts.rumors.Pick(kRumorsPerMessage, now, parts.random, message->rumors);
+  parts.rumors.Pick(rumors, now, parts.random, message->rumors);
   AddMembers(parts, now, *message);
   AddLoads(parts, now, *message);
   return message;
 }
 
+/** Answers a peer that asked for all that is known here. */
+void Reply(Parts& parts, const GossipMessage& question, TimePoint now, Effects& effects) {
+  auto message = std::make_shared<GossipMessage>();
+  message->sender = parts.self;
+  message->generation = parts.lists.generation;
+  message->store_age = duration_cast<milliseconds>(now - parts.lists.store_confirmed_at);
+  message->reply_to = question.ask;
+  parts.rumors.Peek(kRumorsPerReply, now, message->rumors);
+  effects.push_back(Effect::SendGossip{question.sender.peer_address, std::move(message)});
+}
+
 void ApplyRumor(Parts& parts, const GossipMessage::Rumor& rumor, TimePoint now) {
   using Kind = GossipMessage::Rumor::Kind;
   switch (rumor.kind) {
@@ -98,6 +112,12 @@
         parts.endpoints.MarkLeaving(endpoint, rumor.detail);
       break;
     }
+    case Kind::kReturned: {
+      const EndpointHandle endpoint = parts.endpoints.FindByHash(rumor.subject);
+      if (endpoint.IsValid())
+        parts.endpoints.SawIncarnation(endpoint, rumor.detail, now);
+      break;
+    }
     case Kind::kSuspect:
       parts.quarantine.Suspect(rumor.subject, rumor.detail, now);
       break;
@@ -136,7 +156,12 @@
     ApplyRumor(parts, rumor, event.now);
   for (const GossipMessage::EndpointLoad& load : message.loads)
     ApplyLoad(parts, load, event.now);
+  if (message.ask != 0)
+    Reply(parts, message, event.now, effects);
   ListsTracker& lists = parts.lists;
+  const bool confirms = message.reply_to != 0 && message.reply_to == lists.asked;
+  if (confirms && message.generation <= lists.generation)
+    lists.revalidate_until = {};
   if (message.generation > lists.generation && event.now - lists.last_fetch >= kFetchPeriod) {
     lists.last_fetch = event.now;
     effects.push_back(Effect::FetchLists{message.sender.peer_address});
@@ -150,7 +175,7 @@
   ++parts.self.heartbeat;
   parts.self.epoch = parts.EpochAt(now);
   parts.members.Heard(parts.self, now);
-  std::shared_ptr<const GossipMessage> message = MakeMessage(parts, now);
+  std::shared_ptr<const GossipMessage> message = MakeMessage(parts, kRumorsPerMessage, now);
   for (size_t i = 0; i < kFanout; ++i) {
     std::string address = RandomPeerAddress(parts, now);
     if (!address.empty())
@@ -158,6 +183,17 @@
   }
 }
 
+void AskPeers(Parts& parts, TimePoint now, Effects& effects) {
+  parts.lists.asked = parts.random();
+  auto message = MakeMessage(parts, kRumorsPerMessage, now);
+  message->ask = parts.lists.asked;
+  for (size_t i = 0; i < kPeersAsked; ++i) {
+    std::string address = RandomPeerAddress(parts, now);
+    if (!address.empty())
+      effects.push_back(Effect::SendGossip{std::move(address), message});
+  }
+}
+
 void AskPeersForLists(Parts& parts, size_t count, Effects& effects) {
   const auto& entries = parts.members.All();
   const auto& seeds = parts.options.seed_peers;
--- a/libs/core/src/gossip.h
+++ b/libs/core/src/gossip.h
@@ -14,6 +14,9 @@
 /** Sends this instance's news to a fixed number of peers. */
 void SendGossipRound(Parts& parts, TimePoint now, Effects& effects);
 
+/** Asks a few peers for all they know; their answers confirm this instance's knowledge after a pause. */
+void AskPeers(Parts& parts, TimePoint now, Effects& effects);
+
 /** Asks `count` random peers whether they hold newer lists. */
 void AskPeersForLists(Parts& parts, size_t count, Effects& effects);
 
--- a/libs/core/src/lists_tracker.h
+++ b/libs/core/src/lists_tracker.h
@@ -15,8 +15,10 @@
   TimePoint last_fetch{};
   TimePoint last_restore{};
   bool watching = false;
-  /** Calls wait until the generation is confirmed or this time has passed. */
+  /** After a pause calls wait until lists and news are confirmed, or this time has passed. */
   TimePoint revalidate_until{};
+  /** Number in the question that peers were asked after the latest pause. */
+  uint64_t asked = 0;
 };
 
 }  // namespace sassafras
--- a/libs/core/src/reducer.cc
+++ b/libs/core/src/reducer.cc
@@ -18,7 +18,6 @@
 
   void operator()(const Event::ListsReceived& event) { OnListsReceived(parts, event, effects); }
   void operator()(const Event::StoreConfirmed& event) { OnStoreConfirmed(parts, event, effects); }
-  void operator()(const Event::PeerConfirmed& event) { OnPeerConfirmed(parts, event, effects); }
   void operator()(const Event::DirectoryReceived& event) { OnDirectoryReceived(parts, event, effects); }
   void operator()(const Event::GossipReceived& event) { OnGossipReceived(parts, event, effects); }
   void operator()(const Event::CallArrived& event) { OnCallArrived(parts, event, effects); }
@@ -35,6 +34,9 @@
 }  // namespace
 
 void Reduce(State& state, const Event::Any& event, Effects& effects) {
+  const TimePoint now = std::visit([](const auto& kind) { return kind.now; }, event);
+  // After a pause the first event may be a call as well as a tick.
+  NotePause(state.MutableParts(), now, effects);
   std::visit(Router{state.MutableParts(), effects}, event);
 }
 
--- a/libs/core/src/rumor_board.cc
+++ b/libs/core/src/rumor_board.cc
@@ -45,6 +45,12 @@
   Append(m_rumors[random() % m_rumors.size()], now, out);
 }
 
+void RumorBoard::Peek(size_t count, TimePoint now, std::vector<GossipMessage::Rumor>& out) const {
+  const size_t limit = out.size() + count;
+  for (auto entry = m_rumors.rbegin(); entry != m_rumors.rend() && out.size() < limit; ++entry)
+    Append(*entry, now, out);
+}
+
 void RumorBoard::Expire(TimePoint now) {
   std::erase_if(m_rumors, [now](const Entry& entry) { return entry.until <= now; });
 }
--- a/libs/entry/src/platform_link.cc
+++ b/libs/entry/src/platform_link.cc
@@ -230,9 +230,7 @@
     if (!fetched.ok())
       return;
     asio::post(m_context, [this, lists = *std::move(fetched)]() mutable {
-      if (lists.document.empty())
-        m_engine.Post(Event::PeerConfirmed{m_engine.Now(), lists.generation});
-      else
+      if (!lists.document.empty())
         asio::co_spawn(m_context, TakeDocument(std::move(lists.document), false), asio::detached);
     });
   });
--- a/libs/lists/src/lists_parser.cc
+++ b/libs/lists/src/lists_parser.cc
@@ -24,6 +24,8 @@
 constexpr microseconds kDefaultDeadline{2'000'000};
 constexpr microseconds kDefaultObjective{100'000};
 constexpr double kMaxProbeBudget = 1'000.0;
+/** Below this a window of ten seconds has no room for a probe and the reserve; see core/src/probe_schedule.h. */
+constexpr double kMinProbeBudget = 0.3;
 
 /** One `[[permit]]` row: which upstreams a plan may use. */
 struct Permit {
@@ -60,6 +62,10 @@
   Service service;
   service.name = reader.String("name");
   service.probe_budget = reader.NumberOr("probe_budget", 0.0, kMaxProbeBudget, 0.0);
+  if (service.probe_budget > 0.0 && service.probe_budget < kMinProbeBudget) {
+    return RowError(kUpstreamsFile, fmt::format("service '{}'", service.name),
+                    fmt::format("probe_budget is below {}", kMinProbeBudget), "write 0 for no probes, or more");
+  }
   service.probe_path = reader.StringOr("probe_path", "/probe");
   service.long_share = reader.NumberOr("long_share", 1.0, 100.0, 50.0);
   if (absl::Status status = reader.Finish(); !status.ok())
--- a/libs/peers/src/gossip_codec.cc
+++ b/libs/peers/src/gossip_codec.cc
@@ -61,7 +61,7 @@
 }
 
 GossipMessage::Rumor ReadRumor(wire::Rumor::Reader in) {
-  KJ_REQUIRE(in.getKind() <= wire::Rumor::Kind::QUARANTINE, "unknown kind of rumor");
+  KJ_REQUIRE(in.getKind() <= wire::Rumor::Kind::RETURNED, "unknown kind of rumor");
   GossipMessage::Rumor rumor;
   rumor.kind = static_cast<GossipMessage::Rumor::Kind>(in.getKind());
   rumor.subject = in.getSubject();
@@ -74,6 +74,8 @@
   GossipMessage message;
   message.sender = ReadMember(in.getSender());
   message.generation = in.getGeneration();
+  message.ask = in.getAsk();
+  message.reply_to = in.getReplyTo();
   constexpr uint64_t kMaxAge = 1'000'000'000;
   message.store_age = milliseconds(std::min<uint64_t>(in.getStoreAgeMillis(), kMaxAge));
   const size_t items = in.getRumors().size() + in.getLoads().size() + in.getMembers().size();
@@ -94,6 +96,8 @@
   auto gossip = builder.initRoot<wire::Gossip>();
   WriteMember(message.sender, gossip.initSender());
   gossip.setGeneration(message.generation);
+  gossip.setAsk(message.ask);
+  gossip.setReplyTo(message.reply_to);
   gossip.setStoreAgeMillis(static_cast<uint64_t>(std::max<int64_t>(0, message.store_age.count())));
   auto rumors = gossip.initRumors(static_cast<uint32_t>(message.rumors.size()));
   for (uint32_t i = 0; i < rumors.size(); ++i) {
--- a/libs/peers/src/peer.capnp
+++ b/libs/peers/src/peer.capnp
@@ -21,6 +21,7 @@
     leaving @0;
     suspect @1;
     quarantine @2;
+    returned @3;
   }
   kind @0 :Kind;
   subject @1 :UInt64;
@@ -41,6 +42,8 @@
   rumors @3 :List(Rumor);
   loads @4 :List(EndpointLoad);
   members @5 :List(Member);
+  ask @6 :UInt64;
+  replyTo @7 :UInt64;
 }
 
 interface Peer {
--- /dev/null
+++ b/libs/settings/tests/settings_test.cc
@@ -0,0 +1,51 @@
+#include <doctest/doctest.h>
+
+#include <string>
+
+#include "base/error.h"
+#include "settings/settings.h"
+
+namespace sassafras {
+namespace {
+
+const std::string kValid =
+    "instance = \"entry-1\"\nfailure_domain = \"a\"\nlisten = \"127.0.0.1:1\"\npeer_listen = \"127.0.0.1:2\"\n"
+    "platform = [\"127.0.0.1:3\"]\n";
+
+TEST_CASE("required keys suffice") {
+  const auto settings = ParseSettings(kValid, "s.toml");
+  REQUIRE(settings.ok());
+  CHECK(settings->instance == "entry-1");
+  CHECK(settings->selection == "hot_cold");
+  CHECK(settings->late_binding);
+}
+
+TEST_CASE("each mistake gets one line with file, line and remedy") {
+  const std::pair<std::string, std::string> rows[] = {
+      {kValid + "colour = \"red\"\n", "s.toml line 6: unknown key 'colour'; remove it or use one of:"},
+      {kValid + "queue_limit = \"many\"\n", "s.toml line 6: 'queue_limit' is not a whole number from 0 to 1000000"},
+      {kValid + "address_ttl = \"5 parsecs\"\n", "'address_ttl' is not a duration"},
+      {kValid + "address_ttl = \"99999s\"\n", "'address_ttl' is not a duration"},
+      {kValid + "selection = \"best\"\n", "'selection' is none of random, round_robin"},
+      {kValid + "platform = []\n", "mend the TOML syntax"},
+      {"instance = \"x\"\n", "'failure_domain' is missing"},
+      {"instance = 5\n", "'instance' is not a text"},
+  };
+  for (const auto& [text, expected] : rows) {
+    const auto settings = ParseSettings(text, "s.toml");
+    REQUIRE_FALSE(settings.ok());
+    const std::string message = MessageOf(settings.status());
+    CAPTURE(message);
+    CHECK(message.find(expected) != std::string::npos);
+    CHECK(message.find('\n') == std::string::npos);
+  }
+}
+
+TEST_CASE("a missing file is named") {
+  const auto settings = LoadSettings("no-such-file.toml");
+  REQUIRE_FALSE(settings.ok());
+  CHECK(ErrorKindOf(settings.status()) == ErrorKind::kUnreadableFile);
+}
+
+}  // namespace
+}  // namespace sassafras
