--- a/bench/core_bench.cc
+++ b/bench/core_bench.cc
@@ -1,1 +1,255 @@
-int main() {}
+#include <chrono>
+#include <cstdlib>
+#include <memory>
+#include <new>
+#include <string>
+
+#include <benchmark/benchmark.h>
+#include <fmt/format.h>
+
+#include "core/reducer.h"
+#include "core/selection_rule.h"
+#include "core/state.h"
+#include "core/state_options.h"
+#include "lists/lists.h"
+#include "lists/lists_document.h"
+#include "peers/gossip_codec.h"
+#include "sample_lists.h"
+
+namespace {
+
+/** Allocations so far in this process. */
+size_t g_allocations = 0;
+
+}  // namespace
+
+void* operator new(size_t size) {
+  ++g_allocations;
+  if (void* memory = std::malloc(size))
+    return memory;
+  throw std::bad_alloc();
+}
+
+void operator delete(void* memory) noexcept {
+  std::free(memory);
+}
+
+void operator delete(void* memory, size_t) noexcept {
+  std::free(memory);
+}
+
+namespace sassafras {
+namespace {
+
+using std::chrono::microseconds;
+
+constexpr size_t kTargetServices = 84;
+
+size_t ServicesFor(size_t endpoints) {
+  return endpoints >= 3'200 ? kTargetServices : std::max<size_t>(1, endpoints / 38);
+}
+
+StateOptions MakeOptions(SelectionRule rule) {
+  StateOptions options;
+  options.self.name = "entry-1";
+  options.self.failure_domain = "domain-1";
+  options.self.peer_address = "10.0.0.1:1";
+  options.self.incarnation = 1;
+  options.selection = rule;
+  options.start = TimePoint(std::chrono::hours(1));
+  return options;
+}
+
+/** A state with lists of the given size and the given number of known members. */
+class Bench {
+ public:
+  Bench(size_t endpoints, size_t members, SelectionRule rule = SelectionRule::kHotCold)
+      : m_now(std::chrono::hours(1)), m_services(ServicesFor(endpoints)), m_state(MakeOptions(rule)) {
+    auto lists = std::make_shared<const Lists>(MakeSampleLists(endpoints, m_services));
+    Post(Event::Tick{m_now});
+    Post(Event::ListsReceived{m_now, 1, std::move(lists)});
+    for (size_t i = 0; i < members; ++i)
+      Hear(i);
+  }
+
+  void Hear(size_t member) {
+    Event::GossipReceived event;
+    event.now = m_now;
+    event.message.sender.name = fmt::format("peer-{}", member);
+    event.message.sender.address = fmt::format("10.1.{}.{}:8080", member / 200, member % 200);
+    event.message.sender.peer_address = fmt::format("10.1.{}.{}:8081", member / 200, member % 200);
+    event.message.sender.incarnation = 1;
+    event.message.sender.heartbeat = ++m_heartbeat;
+    event.message.generation = 1;
+    Post(event);
+  }
+
+  const Effects& Post(const Event::Any& event) {
+    m_effects.clear();
+    Reduce(m_state, event, m_effects);
+    return m_effects;
+  }
+
+  /** One call from arrival to its answer. */
+  void RunCall() {
+    m_now += microseconds(20);
+    if (++m_calls_since_tick * microseconds(20) >= kTickPeriod) {
+      m_calls_since_tick = 0;
+      Post(Event::Tick{m_now});
+    }
+    Event::CallArrived arrived;
+    arrived.now = m_now;
+    arrived.ticket = ++m_ticket;
+    arrived.plan = PlanHandle(static_cast<uint32_t>(2 * (m_ticket % m_services)));
+    arrived.fingerprint = m_ticket;
+    Event::AttemptEnded ended;
+    for (const Effect::Any& effect : Post(arrived)) {
+      if (const auto* dispatch = std::get_if<Effect::Dispatch>(&effect)) {
+        ended.call = dispatch->call;
+        ended.endpoint = dispatch->endpoint;
+      }
+    }
+    if (!ended.endpoint.IsValid())
+      std::abort();
+    m_now += microseconds(20);
+    ended.now = m_now;
+    ended.load.present = true;
+    ended.load.in_flight = 2;
+    Post(ended);
+  }
+
+  State& GetState() { return m_state; }
+  TimePoint m_now;
+
+ private:
+  size_t m_services;
+  State m_state;
+  Effects m_effects;
+  uint64_t m_ticket = 0;
+  int64_t m_calls_since_tick = 0;
+  uint64_t m_heartbeat = 0;
+};
+
+void CallDecision(benchmark::State& run) {
+  Bench bench(static_cast<size_t>(run.range(0)), 17);
+  for (int i = 0; i < 50'000; ++i)
+    bench.RunCall();
+  const size_t before = g_allocations;
+  for (auto _ : run)
+    bench.RunCall();
+  run.counters["allocations_per_call"] =
+      benchmark::Counter(static_cast<double>(g_allocations - before), benchmark::Counter::kAvgIterations);
+}
+BENCHMARK(CallDecision)->Arg(20)->Arg(200)->Arg(3'200);
+
+void CallDecisionByRule(benchmark::State& run) {
+  Bench bench(20, 17, static_cast<SelectionRule>(run.range(0)));
+  for (auto _ : run)
+    bench.RunCall();
+}
+BENCHMARK(CallDecisionByRule)->DenseRange(0, 5);
+
+/** All periodic work of one instance; the time of one iteration is that of one virtual second. */
+void ControlSecond(benchmark::State& run) {
+  Bench bench(static_cast<size_t>(run.range(0)), static_cast<size_t>(run.range(1)));
+  // Holding every seat is the dearest case.
+  uint64_t member = 0;
+  for (auto _ : run) {
+    for (uint32_t seat = 0; seat < 4; ++seat)
+      bench.Post(Event::SeatGranted{bench.m_now, seat, bench.m_now + std::chrono::seconds(5)});
+    bench.Post(Event::StoreConfirmed{bench.m_now, 1});
+    for (int tick = 0; tick < 200; ++tick) {
+      bench.m_now += kTickPeriod;
+      bench.Post(Event::Tick{bench.m_now});
+      // Each instance receives as many messages as it sends: 8 a second.
+      if (tick % 25 == 0)
+        bench.Hear(member++ % static_cast<uint64_t>(run.range(1)));
+    }
+  }
+  run.counters["table_bytes"] = static_cast<double>(bench.GetState().TableBytes());
+}
+BENCHMARK(ControlSecond)
+    ->Args({20, 17})
+    ->Args({200, 17})
+    ->Args({800, 17})
+    ->Args({3'200, 17})
+    ->Args({3'200, 60})
+    ->Args({3'200, 200})
+    ->Args({20, 200})
+    ->Unit(benchmark::kMicrosecond);
+
+void ParseDocument(benchmark::State& run) {
+  const auto endpoints = static_cast<size_t>(run.range(0));
+  ListsDocument document;
+  document.generation = 1;
+  document.plans_toml = MakeSamplePlansToml(ServicesFor(endpoints));
+  document.upstreams_toml = MakeSampleUpstreamsToml(endpoints, ServicesFor(endpoints));
+  const std::string text = *EncodeDocument(document);
+  for (auto _ : run) {
+    const auto decoded = DecodeDocument(text);
+    benchmark::DoNotOptimize(ParseLists(decoded->plans_toml, decoded->upstreams_toml));
+  }
+  run.counters["document_bytes"] = static_cast<double>(text.size());
+}
+BENCHMARK(ParseDocument)->Arg(20)->Arg(200)->Arg(800)->Arg(3'200)->Unit(benchmark::kMicrosecond);
+
+void ApplyLists(benchmark::State& run) {
+  const auto endpoints = static_cast<size_t>(run.range(0));
+  Bench bench(endpoints, 17);
+  const auto lists = std::make_shared<const Lists>(MakeSampleLists(endpoints, ServicesFor(endpoints)));
+  uint64_t generation = 1;
+  for (auto _ : run)
+    bench.Post(Event::ListsReceived{bench.m_now, ++generation, lists});
+}
+BENCHMARK(ApplyLists)->Arg(20)->Arg(200)->Arg(800)->Arg(3'200)->Unit(benchmark::kMicrosecond);
+
+/** One gossip message out and one in, codec included. */
+void GossipMessageCodec(benchmark::State& run) {
+  Bench bench(200, static_cast<size_t>(run.range(0)));
+  bench.m_now += std::chrono::seconds(1);
+  std::shared_ptr<const GossipMessage> message;
+  for (const Effect::Any& effect : bench.Post(Event::Tick{bench.m_now})) {
+    if (const auto* gossip = std::get_if<Effect::SendGossip>(&effect))
+      message = gossip->message;
+  }
+  size_t bytes = 0;
+  for (auto _ : run) {
+    const std::string datagram = EncodeGossip(*message);
+    bytes = datagram.size();
+    benchmark::DoNotOptimize(DecodeGossip(std::as_bytes(std::span(datagram.data(), datagram.size()))));
+  }
+  run.counters["datagram_bytes"] = static_cast<double>(bytes);
+}
+BENCHMARK(GossipMessageCodec)->Arg(3)->Arg(17)->Arg(60)->Arg(200);
+
+/** A keyed call: its record is made, its answer kept, and a second send answered from it. */
+void KeyedCall(benchmark::State& run) {
+  Bench bench(200, 17);
+  uint64_t key = 0;
+  for (auto _ : run) {
+    Event::CallArrived arrived;
+    arrived.now = bench.m_now;
+    arrived.ticket = ++key;
+    arrived.plan = PlanHandle(1);
+    arrived.fingerprint = key;
+    arrived.idempotency = {true, key, ~key, "entry-1", 1, 0};
+    Event::AttemptEnded ended;
+    for (const Effect::Any& effect : bench.Post(arrived)) {
+      if (const auto* dispatch = std::get_if<Effect::Dispatch>(&effect)) {
+        ended.call = dispatch->call;
+        ended.endpoint = dispatch->endpoint;
+      }
+    }
+    ended.now = bench.m_now;
+    ended.load.present = true;
+    if (ended.call.Version() != 0)
+      bench.Post(ended);
+  }
+  run.counters["records"] = static_cast<double>(bench.GetState().RecordCount());
+}
+BENCHMARK(KeyedCall)->Iterations(60'000);
+
+}  // namespace
+}  // namespace sassafras
+
+BENCHMARK_MAIN();
--- a/libs/entry/src/admin_pages.cc
+++ b/libs/entry/src/admin_pages.cc
@@ -116,7 +116,7 @@
 AdminPages::Page AdminPages::CountersText() const {
   m_refresh();
   const State& state = m_engine.GetState();
-  std::string text = m_counters.RenderText();
+  std::string text = m_counters.RenderText() + m_engine.Overhead().RenderText("sassafras_overhead_seconds");
   for (uint32_t index = 0; index < state.PlanCount(); ++index)
     AppendPlanCounters(state, PlanHandle(index), text);
   return {kOk, "text/plain; version=0.0.4", std::move(text)};
--- a/libs/entry/src/attempt.cc
+++ b/libs/entry/src/attempt.cc
@@ -47,8 +47,10 @@
   if (m_cancelled)
     m_ended.result = AttemptResult::kCancelled;
   const AttemptResult result = m_ended.result;
-  if (result == AttemptResult::kAnswered)
+  if (result == AttemptResult::kAnswered) {
+    m_engine.Overhead().Observe((m_sent_at - m_exchange.ReceivedAt()) + (m_engine.Now() - m_head_at));
     ReturnIfClean();
+  }
   m_connection.reset();
   m_exchange.Report(*this, std::move(m_ended));
   if (result == AttemptResult::kAnswered)
@@ -69,10 +71,12 @@
   m_connection->stream.expires_at(m_target.deadline);
   const error_code send_error = co_await SendRequest();
   m_request_sent_whole = !send_error;
+  m_sent_at = m_engine.Now();
   // An endpoint may answer before it has read the whole request and then close.
   const error_code head_error = co_await ReadHead();
   if (head_error)
     co_return Failed(head_error);
+  m_head_at = m_engine.Now();
   const auto& head = m_response->get();
   m_ended.load = ReadLoadReport(head);
   m_ended.failure_status = head.result_int() >= kFirstFailureStatus;
--- a/libs/entry/src/call_exchange.cc
+++ b/libs/entry/src/call_exchange.cc
@@ -36,7 +36,8 @@
   m_repeat_safe = m_engine.GetState().PlanRow(plan).repeat == Repeat::kSafe;
   m_ticket = m_engine.Register(*this);
   Event::CallArrived event;
-  event.now = m_engine.Now();
+  m_received_at = m_engine.Now();
+  event.now = m_received_at;
   event.ticket = m_ticket;
   event.plan = plan;
   event.limit = limit;
--- a/libs/entry/src/call_exchange.h
+++ b/libs/entry/src/call_exchange.h
@@ -61,6 +61,9 @@
   /** The caller closed its connection while the call was in progress. */
   void CallerGone();
 
+  /** When the request had been read. */
+  TimePoint ReceivedAt() const { return m_received_at; }
+
   Reason RejectReason() const { return m_reason; }
   const std::string& OwnerAddress() const { return m_owner_address; }
   const std::shared_ptr<const RecordedAnswer>& Recorded() const { return m_recorded; }
@@ -93,6 +96,7 @@
   std::string m_body;
   bool m_keep_alive = true;
   bool m_repeat_safe = false;
+  TimePoint m_received_at{};
   uint64_t m_ticket = 0;
   CallHandle m_call;
   End m_end = End::kPending;
--- a/tools/upstream_standin/main.cc
+++ b/tools/upstream_standin/main.cc
@@ -43,6 +43,8 @@
   arguments.Integer("noise-every-ms", &noise_every, "mean time between noisy episodes; 0 for none");
   arguments.Integer("noise-length-ms", &noise_length, "length of a noisy episode");
   arguments.Number("noise-factor", &options.noise_factor, "how much slower work is in a noisy episode");
+  arguments.Number("stragglers", &options.stragglers, "share of runs that take longer by chance");
+  arguments.Number("straggler-factor", &options.straggler_factor, "how many times longer those runs take");
   arguments.Integer("cold-ms", &cold, "time after the start in which work is slower");
   arguments.Number("cold-factor", &options.cold_factor, "how much slower work is at first");
   arguments.Integer("report-lag-ms", &lag, "age of the load that is reported");
--- a/tools/upstream_standin/upstream.cc
+++ b/tools/upstream_standin/upstream.cc
@@ -199,7 +199,10 @@
   m_log.Write("run", id);
   if (!Field(request, "X-Crash").empty())
     ::_exit(kCrashExit);
-  const bool finished = co_await Work(ReadWork(request), stream);
+  microseconds work = ReadWork(request);
+  if (std::bernoulli_distribution(m_options.stragglers)(m_random))
+    work = std::chrono::duration_cast<microseconds>(work * m_options.straggler_factor);
+  const bool finished = co_await Work(work, stream);
   m_log.Write(finished ? "done" : "cancel", id);
   FreeSlot();
   if (!finished)
--- a/tools/upstream_standin/upstream_options.h
+++ b/tools/upstream_standin/upstream_options.h
@@ -22,6 +22,9 @@
   std::chrono::milliseconds noise_every{0};
   std::chrono::milliseconds noise_length{40};
   double noise_factor = 5.0;
+  /** Share of runs that take longer by chance, whatever the request, and how many times longer. */
+  double stragglers = 0.0;
+  double straggler_factor = 20.0;
   /** Work is slower by up to this factor for this long after the start. */
   std::chrono::milliseconds cold_time{0};
   double cold_factor = 4.0;
