Keep control traffic flat: deltas, revisions only, short heartbeats

Cause: worked out for the target, three things grew with the fleet or the lists. Heartbeats travelled as three whole members a message: at 200 instances each would be refreshed every 6 s, above the 5 s of silence after which a member is dropped. Watchers read the whole document and the whole list of instances each second: 641 KB each at 3200 endpoints. Every edit sent the whole document to every instance.

Change: 48 heartbeats of 8 bytes a message; members learned of lately go first; the store is polled for its revision only and the instance list for what changed; peers send deltas, checked by a hash of the result. Watches are ended by closing their stream: cancelling the coroutine did not.

Ruled out: compressing documents, which still grows with the lists.

--- a/daemons/sassafrasctl/fleet.cc
+++ b/daemons/sassafrasctl/fleet.cc
@@ -22,10 +22,10 @@
   if (!m_addresses.empty())
     co_return m_addresses;
   std::vector<std::string> addresses;
-  const auto entries = co_await m_directory.List();
-  if (!entries.ok())
+  const auto listing = co_await m_directory.List(0);
+  if (!listing.ok())
     co_return addresses;
-  for (const DirectoryEntry& entry : *entries) {
+  for (const DirectoryEntry& entry : listing->entries) {
     if (entry.kind == DirectoryEntry::Kind::kEntry && !entry.leaving)
       addresses.push_back(entry.address);
   }
--- a/libs/base/include/base/duration_buckets.h
+++ b/libs/base/include/base/duration_buckets.h
@@ -19,8 +19,8 @@
  private:
   /** Upper bounds; the last bucket has none. */
   static constexpr std::array<std::chrono::microseconds, 9> kBounds = {
-      std::chrono::microseconds(50),    std::chrono::microseconds(100),   std::chrono::microseconds(200),
-      std::chrono::microseconds(400),   std::chrono::microseconds(860),   std::chrono::microseconds(2'000),
+      std::chrono::microseconds(50),    std::chrono::microseconds(100),    std::chrono::microseconds(200),
+      std::chrono::microseconds(400),   std::chrono::microseconds(860),    std::chrono::microseconds(2'000),
       std::chrono::microseconds(5'000), std::chrono::microseconds(20'000), std::chrono::microseconds(100'000)};
 
   std::array<uint64_t, kBounds.size() + 1> m_counts{};
--- a/libs/core/include/core/event.h
+++ b/libs/core/include/core/event.h
@@ -63,6 +63,8 @@
       bool leaving = false;
     };
     TimePoint now;
+    /** Whether all members are there, not only those that changed. */
+    bool whole = true;
     std::vector<Member> members;
     std::vector<EndpointMark> endpoints;
   };
--- a/libs/core/include/core/gossip_message.h
+++ b/libs/core/include/core/gossip_message.h
@@ -29,6 +29,13 @@
     std::chrono::milliseconds age{};
   };
 
+  /** Proof that a member was alive: its identity in short and its heartbeat. */
+  struct Heartbeat {
+    /** Hash of the member's name and incarnation. */
+    uint32_t id = 0;
+    uint32_t heartbeat = 0;
+  };
+
   Member sender;
   uint64_t generation = 0;
   /** Age of the newest proof, seen by anyone, that the store held no higher generation. */
@@ -38,8 +45,9 @@
   uint64_t reply_to = 0;
   std::vector<Rumor> rumors;
   std::vector<EndpointLoad> loads;
-  /** A few other members, so that joins and heartbeats spread. */
+  /** A few other members, so that joins spread. */
   std::vector<Member> members;
+  std::vector<Heartbeat> heartbeats;
 };
 
 }  // namespace sassafras
--- a/libs/core/include/core/member.h
+++ b/libs/core/include/core/member.h
@@ -16,7 +16,7 @@
   /** Start of the process, in microseconds of wall time; 0 if unknown. */
   uint64_t incarnation = 0;
   /** Number of gossip rounds the process has made. */
-  uint64_t heartbeat = 0;
+  uint32_t heartbeat = 0;
   /** Epoch of its idempotency tokens. */
   uint32_t epoch = 0;
   bool leaving = false;
--- a/libs/core/src/control.cc
+++ b/libs/core/src/control.cc
@@ -174,7 +174,7 @@
 }
 
 void OnDirectoryReceived(Parts& parts, const Event::DirectoryReceived& event, Effects& /*effects*/) {
-  parts.members.Listed(event.members, event.now);
+  parts.members.Listed(event.members, event.whole, event.now);
   for (const auto& mark : event.endpoints) {
     const EndpointHandle endpoint = parts.endpoints.FindByHash(Hash64(mark.name));
     if (!endpoint.IsValid())
--- a/libs/core/src/gossip.cc
+++ b/libs/core/src/gossip.cc
@@ -22,7 +22,10 @@
 constexpr size_t kRumorsPerReply = 24;
 /** Peers asked after a pause. */
 constexpr size_t kPeersAsked = 2;
-constexpr size_t kMembersPerMessage = 3;
+constexpr size_t kMembersPerMessage = 2;
+constexpr size_t kHeartbeatsPerMessage = 48;
+/** A member that this instance learned of in this time goes before others, so that joins spread. */
+constexpr std::chrono::seconds kNewMember{5};
 constexpr size_t kLoadsPerMessage = 8;
 /** One round in this many goes to a peer that has been silent, so that parted regions find each other. */
 constexpr uint64_t kSilentPeerRounds = 8;
@@ -58,16 +61,32 @@
   return seeds.empty() ? std::string() : seeds[parts.random() % seeds.size()];
 }
 
-void AddMembers(Parts& parts, TimePoint now, GossipMessage& message) {
+bool IsWorthTelling(const Parts& parts, const Membership::Entry& entry, TimePoint now) {
+  return parts.members.IsAlive(entry, now) && entry.member.incarnation != 0;
+}
+
+/** Adds members from a random position on; with `only_new`, those that were learned of a short time ago. */
+void AddMembers(Parts& parts, bool only_new, TimePoint now, GossipMessage& message) {
   const auto& entries = parts.members.All();
   const size_t start = entries.empty() ? 0 : parts.random() % entries.size();
   for (size_t step = 0; step < entries.size() && message.members.size() < kMembersPerMessage; ++step) {
     const Membership::Entry& entry = entries[(start + step) % entries.size()];
-    if (parts.members.IsAlive(entry, now) && entry.member.incarnation != 0)
+    const bool is_new = now - entry.learned_at < kNewMember;
+    if (IsWorthTelling(parts, entry, now) && (is_new || !only_new))
       message.members.push_back(entry.member);
   }
 }
 
+void AddHeartbeats(Parts& parts, TimePoint now, GossipMessage& message) {
+  const auto& entries = parts.members.All();
+  const size_t start = entries.empty() ? 0 : parts.random() % entries.size();
+  for (size_t step = 0; step < entries.size() && message.heartbeats.size() < kHeartbeatsPerMessage; ++step) {
+    const Membership::Entry& entry = entries[(start + step) % entries.size()];
+    if (IsWorthTelling(parts, entry, now))
+      message.heartbeats.push_back({entry.heartbeat_id, entry.member.heartbeat});
+  }
+}
+
 void AddLoads(Parts& parts, TimePoint now, GossipMessage& message) {
   const size_t count = parts.endpoints.Size();
   const size_t start = count == 0 ? 0 : parts.random() % count;
@@ -87,7 +106,9 @@
   message->generation = parts.lists.generation;
   message->store_age = duration_cast<milliseconds>(now - parts.lists.store_confirmed_at);
   parts.rumors.Pick(rumors, now, parts.random, message->rumors);
-  AddMembers(parts, now, *message);
+  AddMembers(parts, true, now, *message);
+  AddMembers(parts, false, now, *message);
+  AddHeartbeats(parts, now, *message);
   AddLoads(parts, now, *message);
   return message;
 }
@@ -167,6 +188,8 @@
     if (member.name != parts.self.name)
       parts.members.Heard(member, event.now);
   }
+  for (const GossipMessage::Heartbeat& heartbeat : message.heartbeats)
+    parts.members.HeardHeartbeat(heartbeat.id, heartbeat.heartbeat, event.now);
   for (const GossipMessage::Rumor& rumor : message.rumors)
     ApplyRumor(parts, rumor, event.now);
   for (const GossipMessage::EndpointLoad& load : message.loads)
--- a/libs/core/src/membership.cc
+++ b/libs/core/src/membership.cc
@@ -12,10 +12,30 @@
       return entry;
   }
   Entry& entry = m_entries.emplace_back();
+  SetIdentity(entry, member, now);
+  return entry;
+}
+
+void Membership::SetIdentity(Entry& entry, const Member& member, TimePoint now) {
   entry.member = member;
   entry.name_hash = Hash64(member.name);
+  entry.heartbeat_id = static_cast<uint32_t>(HashCombine(entry.name_hash, member.incarnation));
+  entry.learned_at = now;
   entry.heard_at = now;
-  return entry;
+}
+
+void Membership::Advance(Entry& entry, uint32_t heartbeat, TimePoint now) {
+  if (heartbeat <= entry.member.heartbeat)
+    return;
+  entry.member.heartbeat = heartbeat;
+  entry.heard_at = now;
+}
+
+void Membership::HeardHeartbeat(uint32_t id, uint32_t heartbeat, TimePoint now) {
+  const auto found =
+      std::find_if(m_entries.begin(), m_entries.end(), [id](const Entry& entry) { return entry.heartbeat_id == id; });
+  if (found != m_entries.end())
+    Advance(*found, heartbeat, now);
 }
 
 void Membership::Heard(const Member& member, TimePoint now) {
@@ -24,22 +44,18 @@
   if (member.incarnation < known.incarnation)
     return;
   if (member.incarnation > known.incarnation) {
-    known = member;
-    entry.heard_at = now;
+    SetIdentity(entry, member, now);
     return;
   }
   // Leaving is final for an incarnation, whatever order messages arrive in.
   known.leaving = known.leaving || member.leaving;
-  if (member.heartbeat <= known.heartbeat)
-    return;
-  known.heartbeat = member.heartbeat;
   known.epoch = std::max(known.epoch, member.epoch);
-  entry.heard_at = now;
+  Advance(entry, member.heartbeat, now);
 }
 
-void Membership::Listed(const std::vector<Member>& members, TimePoint now) {
+void Membership::Listed(const std::vector<Member>& members, bool whole, TimePoint now) {
   for (Entry& entry : m_entries)
-    entry.listed = false;
+    entry.listed = entry.listed && !whole;
   for (const Member& member : members) {
     Entry& entry = FindOrAdd(member, now);
     entry.listed = true;
--- a/libs/core/src/membership.h
+++ b/libs/core/src/membership.h
@@ -21,6 +21,10 @@
   struct Entry {
     Member member;
     uint64_t name_hash = 0;
+    /** Short name of the member's incarnation in heartbeats. */
+    uint32_t heartbeat_id = 0;
+    /** When this instance first knew the member's incarnation. */
+    TimePoint learned_at;
     /** When the heartbeat last advanced here. */
     TimePoint heard_at;
     bool listed = false;
@@ -30,8 +34,10 @@
 
   /** Takes in what a member says of itself or a peer says of it. */
   void Heard(const Member& member, TimePoint now);
-  /** Takes in the platform's list. */
-  void Listed(const std::vector<Member>& members, TimePoint now);
+  /** Takes in a peer's proof that a member was alive; an unknown id is passed over. */
+  void HeardHeartbeat(uint32_t id, uint32_t heartbeat, TimePoint now);
+  /** Takes in the platform's list, or the part of it that changed if it is not `whole`. */
+  void Listed(const std::vector<Member>& members, bool whole, TimePoint now);
   /** Forgets members that are neither listed nor heard of. */
   void Expire(TimePoint now);
   /** After a pause of this process: nobody could be heard meanwhile. */
@@ -50,6 +56,8 @@
   size_t RankFor(uint64_t purpose, uint64_t self_hash, TimePoint now) const;
 
  private:
+  static void SetIdentity(Entry& entry, const Member& member, TimePoint now);
+  static void Advance(Entry& entry, uint32_t heartbeat, TimePoint now);
   Entry& FindOrAdd(const Member& member, TimePoint now);
   std::vector<Entry> m_entries;
 };
--- a/libs/entry/src/platform_link.cc
+++ b/libs/entry/src/platform_link.cc
@@ -4,7 +4,6 @@
 #include <utility>
 #include <vector>
 
-#include <boost/asio/bind_cancellation_slot.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
@@ -16,6 +15,7 @@
 #include "base/log.h"
 #include "engine.h"
 #include "lists/lists.h"
+#include "lists/lists_delta.h"
 #include "lists/lists_document.h"
 #include "peers/fetched_lists.h"
 #include "peers/peer_rpc.h"
@@ -29,6 +29,8 @@
 namespace asio = boost::asio;
 
 constexpr std::chrono::milliseconds kWatchPause{500};
+/** Between whole lists of instances only what changed is read. */
+constexpr std::chrono::minutes kWholeDirectoryPeriod{10};
 /** Part of a lease that is relied on: clocks of instance and platform run at slightly different rates. */
 constexpr double kLeaseSafety = 0.9;
 
@@ -36,6 +38,7 @@
 struct ParsedDocument {
   absl::Status status;
   uint64_t generation = 0;
+  std::shared_ptr<const ListsDocument> document;
   std::shared_ptr<const Lists> lists;
 };
 
@@ -48,6 +51,7 @@
   }
   parsed.generation = document->generation;
   auto lists = ParseLists(document->plans_toml, document->upstreams_toml);
+  parsed.document = std::make_shared<const ListsDocument>(*std::move(document));
   if (lists.ok())
     parsed.lists = std::make_shared<const Lists>(*std::move(lists));
   else
@@ -86,23 +90,47 @@
 }
 
 asio::awaitable<void> PlatformLink::RunPoll() {
+  co_await PollLists();
+  co_await PollDirectory();
+  m_polling = false;
+}
+
+asio::awaitable<void> PlatformLink::PollLists() {
+  auto revision = co_await m_store.ReadRevision();
+  NoteResult(revision.ok());
+  if (!revision.ok())
+    co_return;
+  if (!revision->exists) {
+    m_engine.Post(Event::StoreConfirmed{m_engine.Now(), 0});
+    co_return;
+  }
+  if (revision->revision == m_stored_revision) {
+    m_engine.Post(Event::StoreConfirmed{m_engine.Now(), m_stored_generation});
+    co_return;
+  }
   auto value = co_await m_store.Read();
   NoteResult(value.ok());
   if (value.ok() && value->exists)
-    co_await TakeDocument(std::move(value->value), true);
-  else if (value.ok())
-    m_engine.Post(Event::StoreConfirmed{m_engine.Now(), 0});
-  auto entries = co_await m_directory.List();
-  NoteResult(entries.ok());
-  if (entries.ok())
-    PostDirectory(*entries);
-  m_polling = false;
+    co_await TakeDocument(std::move(value->value), value->revision);
 }
 
-void PlatformLink::PostDirectory(const std::vector<DirectoryEntry>& entries) {
+asio::awaitable<void> PlatformLink::PollDirectory() {
+  const bool whole = m_directory_revision == 0 || m_engine.Now() - m_whole_directory_at > kWholeDirectoryPeriod;
+  auto listing = co_await m_directory.List(whole ? 0 : m_directory_revision);
+  NoteResult(listing.ok());
+  if (!listing.ok())
+    co_return;
+  m_directory_revision = listing->revision;
+  if (whole)
+    m_whole_directory_at = m_engine.Now();
+  PostDirectory(*listing);
+}
+
+void PlatformLink::PostDirectory(const DirectoryListing& listing) {
   Event::DirectoryReceived event;
   event.now = m_engine.Now();
-  for (const DirectoryEntry& entry : entries) {
+  event.whole = listing.whole;
+  for (const DirectoryEntry& entry : listing.entries) {
     if (entry.kind == DirectoryEntry::Kind::kUpstream) {
       event.endpoints.push_back({entry.name, entry.incarnation, entry.leaving});
       continue;
@@ -118,7 +146,7 @@
   m_engine.Post(std::move(event));
 }
 
-asio::awaitable<void> PlatformLink::TakeDocument(std::string text, bool from_store) {
+asio::awaitable<void> PlatformLink::TakeDocument(std::string text, int64_t revision) {
   ParsedDocument parsed;
   if (text == m_document) {
     parsed.generation = m_document_generation;
@@ -136,39 +164,39 @@
   if (newer) {
     m_document = std::move(text);
     m_document_generation = parsed.generation;
-    m_rpc.Publish({parsed.generation, m_document});
+    m_parsed_document = parsed.document;
+    m_rpc.Publish(parsed.document);
     Log(LogLevel::kInfo, "lists_in_force",
-        {{"generation", std::to_string(parsed.generation)}, {"source", from_store ? "platform" : "peer"}});
+        {{"generation", std::to_string(parsed.generation)}, {"source", revision > 0 ? "platform" : "peer"}});
     m_engine.Post(Event::ListsReceived{m_engine.Now(), parsed.generation, parsed.lists});
   }
-  if (from_store)
-    m_engine.Post(Event::StoreConfirmed{m_engine.Now(), parsed.generation});
+  if (revision <= 0)
+    co_return;
+  m_stored_revision = revision;
+  m_stored_generation = parsed.generation;
+  m_engine.Post(Event::StoreConfirmed{m_engine.Now(), parsed.generation});
 }
 
 void PlatformLink::Watch(bool on) {
   m_watch_on = on;
   if (on && !std::exchange(m_watch_running, true))
-    asio::co_spawn(m_context, RunWatch(), asio::bind_cancellation_slot(m_watch_stop.slot(), asio::detached));
+    asio::co_spawn(m_context, RunWatch(), asio::detached);
   if (!on)
-    m_watch_stop.emit(asio::cancellation_type::terminal);
+    m_watch_stop.Request();
 }
 
 asio::awaitable<void> PlatformLink::RunWatch() {
-  try {
-    while (m_watch_on) {
-      ++m_calls;
-      co_await m_store.Watch([this](StoredValue value) {
-        asio::co_spawn(m_context, TakeDocument(std::move(value.value), true), asio::detached);
-      });
-      asio::steady_timer pause(m_context, kWatchPause);
-      co_await pause.async_wait(asio::use_awaitable);
-    }
-  } catch (const std::exception&) {
-    // The watch was cancelled.
+  while (m_watch_on) {
+    ++m_calls;
+    co_await m_store.Watch(
+        [this](StoredValue value) {
+          asio::co_spawn(m_context, TakeDocument(std::move(value.value), value.revision), asio::detached);
+        },
+        m_watch_stop);
+    asio::steady_timer pause(m_context, kWatchPause);
+    co_await pause.async_wait(asio::use_awaitable);
   }
   m_watch_running = false;
-  if (m_watch_on)
-    Watch(true);
 }
 
 void PlatformLink::Restore(uint64_t generation) {
@@ -226,14 +254,32 @@
 }
 
 void PlatformLink::FetchFrom(const std::string& peer_address) {
-  m_rpc.Fetch(peer_address, m_document_generation, [this](absl::StatusOr<FetchedLists> fetched) {
+  Fetch(peer_address, false);
+}
+
+void PlatformLink::Fetch(const std::string& peer_address, bool whole) {
+  const auto on_fetched = [this, peer_address](absl::StatusOr<FetchedLists> fetched) {
     if (!fetched.ok())
       return;
-    asio::post(m_context, [this, lists = *std::move(fetched)]() mutable {
-      if (!lists.document.empty())
-        asio::co_spawn(m_context, TakeDocument(std::move(lists.document), false), asio::detached);
+    asio::post(m_context, [this, peer_address, lists = *std::move(fetched)]() mutable {
+      if (lists.delta.has_value())
+        asio::co_spawn(m_context, TakeDelta(*std::move(lists.delta), peer_address), asio::detached);
+      else if (!lists.document.empty())
+        asio::co_spawn(m_context, TakeDocument(std::move(lists.document), 0), asio::detached);
     });
-  });
+  };
+  m_rpc.Fetch(peer_address, m_document_generation, whole, on_fetched);
+}
+
+asio::awaitable<void> PlatformLink::TakeDelta(ListsDelta delta, std::string peer_address) {
+  if (m_parsed_document == nullptr || delta.base_generation != m_document_generation)
+    co_return;
+  const auto document = ApplyDelta(*m_parsed_document, delta);
+  const auto text = document.ok() ? EncodeDocument(*document) : absl::StatusOr<std::string>(document.status());
+  if (text.ok())
+    co_await TakeDocument(*text, 0);
+  else
+    Fetch(peer_address, true);
 }
 
 }  // namespace sassafras
--- a/libs/entry/src/platform_link.h
+++ b/libs/entry/src/platform_link.h
@@ -7,12 +7,13 @@
 #include <string>
 
 #include <boost/asio/awaitable.hpp>
-#include <boost/asio/cancellation_signal.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/thread_pool.hpp>
 
+#include "base/clock.h"
 #include "core/effect.h"
-#include "store/directory_entry.h"
+#include "net/stream_stop.h"
+#include "store/directory_listing.h"
 #include "store/stored_value.h"
 
 namespace sassafras {
@@ -24,6 +25,8 @@
 class SeatLeases;
 struct FetchedLists;
 struct Lists;
+struct ListsDelta;
+struct ListsDocument;
 
 /** Carries out the effects that concern the lists and the platform. */
 class PlatformLink {
@@ -49,13 +52,21 @@
 
  private:
   boost::asio::awaitable<void> RunPoll();
+  /** Reads the lists if their revision is not the one read last. */
+  boost::asio::awaitable<void> PollLists();
+  boost::asio::awaitable<void> PollDirectory();
   boost::asio::awaitable<void> RunWatch();
   boost::asio::awaitable<void> RunRestore();
   boost::asio::awaitable<void> RunClaim(uint32_t seat);
   boost::asio::awaitable<void> RunRelease(uint32_t seat);
-  /** Parses a document away from the event loop and puts it into force if it is newer. */
-  boost::asio::awaitable<void> TakeDocument(std::string text, bool from_store);
-  void PostDirectory(const std::vector<DirectoryEntry>& entries);
+  /**
+   * Parses a document away from the event loop and puts it into force if it is newer.
+   * @param revision  of the store, or 0 if a peer sent it
+   */
+  boost::asio::awaitable<void> TakeDocument(std::string text, int64_t revision);
+  boost::asio::awaitable<void> TakeDelta(ListsDelta delta, std::string peer_address);
+  void Fetch(const std::string& peer_address, bool whole);
+  void PostDirectory(const DirectoryListing& listing);
   void NoteResult(bool ok);
 
   boost::asio::io_context& m_context;
@@ -65,10 +76,17 @@
   SeatLeases& m_seats;
   PeerRpc& m_rpc;
   boost::asio::thread_pool m_parser{1};
-  boost::asio::cancellation_signal m_watch_stop;
+  StreamStop m_watch_stop;
   /** The newest document seen, as stored. */
   std::string m_document;
+  std::shared_ptr<const ListsDocument> m_parsed_document;
   uint64_t m_document_generation = 0;
+  /** Revision of the store at which it held a document that was taken, and that document's generation. */
+  int64_t m_stored_revision = 0;
+  uint64_t m_stored_generation = 0;
+  /** Revision of the last listing, and when the last whole one was read. */
+  int64_t m_directory_revision = 0;
+  TimePoint m_whole_directory_at{};
   bool m_polling = false;
   /** Seats whose claim is under way. */
   std::set<uint32_t> m_claiming;
--- /dev/null
+++ b/libs/entry/tests/platform_link_test.cc
@@ -0,0 +1,152 @@
+#include "platform_link.h"
+
+#include <doctest/doctest.h>
+
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <boost/asio/io_context.hpp>
+
+#include "base/error.h"
+#include "control_sink.h"
+#include "core/state_options.h"
+#include "engine.h"
+#include "lists/lists_document.h"
+#include "manual_clock.h"
+#include "mock_platform.h"
+#include "peers/peer_rpc.h"
+
+namespace sassafras {
+namespace {
+
+using trompeloeil::_;
+
+/** Takes effects and does nothing. */
+class NoControl final : public ControlSink {
+ public:
+  void OnEffect(const Effect::SendProbe&) override {}
+  void OnEffect(const Effect::SendGossip&) override {}
+  void OnEffect(const Effect::FetchLists&) override {}
+  void OnEffect(const Effect::PollStore&) override {}
+  void OnEffect(const Effect::WatchStore&) override {}
+  void OnEffect(const Effect::RestoreLists&) override {}
+  void OnEffect(const Effect::ClaimSeat&) override {}
+  void OnEffect(const Effect::ReleaseSeat&) override {}
+  void OnEffect(const Effect::CloseListeners&) override {}
+};
+
+template <typename T>
+boost::asio::awaitable<absl::StatusOr<T>> Ready(T value) {
+  co_return value;
+}
+
+boost::asio::awaitable<absl::StatusOr<StoredValue>> Unreachable() {
+  co_return MakeError(ErrorKind::kUnreachable, "platform: down", "wait");
+}
+
+StoredValue StoredDocument(uint64_t generation, int64_t revision) {
+  ListsDocument document;
+  document.generation = generation;
+  document.changes = {"c" + std::to_string(generation)};
+  document.plans_toml = "[[plan]]\nname = \"p\"\ncustomer = \"c\"\npath = \"/p\"\n";
+  document.upstreams_toml =
+      "[[service]]\nname = \"s\"\n[[endpoint]]\nname = \"e\"\nservice = \"s\"\naddress = \"127.0.0.1:9\"\nslots = 1\n"
+      "[[permit]]\nplan = \"p\"\nservice = \"s\"\n";
+  return {true, revision, *EncodeDocument(document)};
+}
+
+StoredValue RevisionOnly(int64_t revision) {
+  return {true, revision, {}};
+}
+
+/** A link to a mocked platform, with a clock that stands still. */
+struct Fixture {
+  Fixture() : engine(StateOptions{.start = clock.Now()}, clock), link(context, engine, mock, mock, mock, rpc) {
+    engine.SetControlSink(control);
+  }
+
+  void Run() {
+    context.restart();
+    context.run();
+  }
+
+  /** Polls once; the store answers with the value. */
+  void PollOnce(const StoredValue& value) {
+    REQUIRE_CALL(mock, ReadRevision()).RETURN(Ready(RevisionOnly(value.revision)));
+    REQUIRE_CALL(mock, Read()).RETURN(Ready(value));
+    REQUIRE_CALL(mock, List(_)).RETURN(Ready(DirectoryListing()));
+    link.Poll();
+    Run();
+  }
+
+  boost::asio::io_context context;
+  ManualClock clock;
+  NoControl control;
+  MockPlatform mock;
+  PeerRpc rpc;
+  Engine engine;
+  PlatformLink link;
+};
+
+TEST_CASE("lists of the platform come into force, and are read again only when they changed") {
+  Fixture fixture;
+  fixture.PollOnce(StoredDocument(3, 10));
+  CHECK(fixture.engine.GetState().Generation() == 3);
+  REQUIRE_CALL(fixture.mock, ReadRevision()).RETURN(Ready(RevisionOnly(10)));
+  REQUIRE_CALL(fixture.mock, List(_)).RETURN(Ready(DirectoryListing()));
+  fixture.link.Poll();
+  fixture.Run();
+  CHECK(fixture.engine.GetState().Generation() == 3);
+}
+
+TEST_CASE("an older document does not replace a newer one and is overwritten at its own revision") {
+  Fixture fixture;
+  const StoredValue newer = StoredDocument(3, 10);
+  fixture.PollOnce(newer);
+  fixture.PollOnce(StoredDocument(2, 5));
+  CHECK(fixture.engine.GetState().Generation() == 3);
+  REQUIRE_CALL(fixture.mock, Read()).RETURN(Ready(StoredDocument(2, 5)));
+  REQUIRE_CALL(fixture.mock, CompareAndSwap(5, newer.value)).RETURN(Ready(true));
+  fixture.link.Restore(3);
+  fixture.Run();
+}
+
+TEST_CASE("nothing is written back if the store has caught up") {
+  Fixture fixture;
+  fixture.PollOnce(StoredDocument(3, 10));
+  REQUIRE_CALL(fixture.mock, Read()).RETURN(Ready(StoredDocument(4, 11)));
+  FORBID_CALL(fixture.mock, CompareAndSwap(_, _));
+  fixture.link.Restore(3);
+  fixture.Run();
+}
+
+TEST_CASE("unusable documents and outages change nothing") {
+  Fixture fixture;
+  fixture.PollOnce(StoredDocument(3, 10));
+  fixture.PollOnce({true, 11, "{\"generation\":9}"});
+  CHECK(fixture.engine.GetState().Generation() == 3);
+  REQUIRE_CALL(fixture.mock, ReadRevision()).RETURN(Unreachable());
+  REQUIRE_CALL(fixture.mock, List(_)).RETURN(Ready(DirectoryListing()));
+  fixture.link.Poll();
+  fixture.Run();
+  CHECK(fixture.engine.GetState().Generation() == 3);
+  CHECK(fixture.link.Failures() == 1);
+}
+
+TEST_CASE("a seat is relied on from before its claim was sent") {
+  Fixture fixture;
+  fixture.PollOnce(StoredDocument(1, 1));
+  const TimePoint before = fixture.clock.Now();
+  REQUIRE_CALL(fixture.mock, Claim(2u))
+      .LR_SIDE_EFFECT(fixture.clock.Advance(std::chrono::seconds(2)))
+      .RETURN(Ready(true));
+  fixture.link.ClaimSeat(2);
+  fixture.Run();
+  const State& state = fixture.engine.GetState();
+  CHECK(state.SeatsHeld(before + std::chrono::milliseconds(5'399)) == 1);
+  CHECK(state.SeatsHeld(before + std::chrono::milliseconds(5'400)) == 0);
+}
+
+}  // namespace
+}  // namespace sassafras
--- a/libs/net/include/net/http_client.h
+++ b/libs/net/include/net/http_client.h
@@ -11,6 +11,7 @@
 #include <boost/asio/ip/tcp.hpp>
 
 #include "net/http_reply.h"
+#include "net/stream_stop.h"
 
 namespace sassafras {
 
@@ -32,14 +33,15 @@
                                                            std::chrono::milliseconds limit);
 
 /**
- * Sends one request and hands over each line of the streamed reply as it arrives, until the connection ends
- * or the coroutine is cancelled.
+ * Sends one request and hands over each line of the streamed reply as it arrives, until the connection ends.
  * @param silence  longest time without a byte
+ * @param stop     ends the stream; must outlive the call
  */
 boost::asio::awaitable<absl::Status> StreamHttp(std::string address,
                                                 std::string target,
                                                 std::string body,
                                                 std::chrono::milliseconds silence,
-                                                std::function<void(std::string_view)> on_line);
+                                                std::function<void(std::string_view)> on_line,
+                                                StreamStop& stop);
 
 }  // namespace sassafras
--- a/libs/net/src/http_client.cc
+++ b/libs/net/src/http_client.cc
@@ -123,20 +123,23 @@
                                          std::string target,
                                          std::string body,
                                          std::chrono::milliseconds silence,
-                                         std::function<void(std::string_view)> on_line) {
+                                         std::function<void(std::string_view)> on_line,
+                                         StreamStop& stop) {
   beast::tcp_stream stream(co_await asio::this_coro::executor);
+  stop.Set([&stream] { stream.close(); });
   stream.expires_after(silence);
-  if (absl::Status status = co_await Connect(stream, address); !status.ok())
+  if (absl::Status status = co_await Connect(stream, address); !status.ok()) {
+    stop.Clear();
     co_return status;
+  }
   const http::request<http::string_body> request = MakeRequest(address, "POST", target, std::move(body));
   error_code error;
   co_await http::async_write(stream, request, Token(error));
-  if (error)
-    co_return ReplyLost(address, error);
   beast::flat_buffer buffer;
   http::response_parser<http::buffer_body> parser;
   parser.body_limit(boost::none);
-  co_await http::async_read_header(stream, buffer, parser, Token(error));
+  if (!error)
+    co_await http::async_read_header(stream, buffer, parser, Token(error));
   std::string pending;
   constexpr size_t kPiece = 64u << 10u;
   std::string piece(kPiece, '\0');
@@ -150,6 +153,7 @@
     pending.append(piece.data(), piece.size() - parser.get().body().size);
     TakeLines(pending, on_line);
   }
+  stop.Clear();
   co_return ReplyLost(address, error);
 }
 
--- a/libs/peers/include/peers/fetched_lists.h
+++ b/libs/peers/include/peers/fetched_lists.h
@@ -1,15 +1,19 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 
+#include "lists/lists_delta.h"
+
 namespace sassafras {
 
-/** Lists as held by a peer. */
+/** What a peer answered to a request for lists. */
 struct FetchedLists {
   uint64_t generation = 0;
-  /** The stored document, or empty if it is not above the generation asked for. */
+  /** The stored document; empty if a delta was sent or nothing is above the generation asked for. */
   std::string document;
+  std::optional<ListsDelta> delta;
 };
 
 }  // namespace sassafras
--- a/libs/peers/include/peers/peer_rpc.h
+++ b/libs/peers/include/peers/peer_rpc.h
@@ -8,6 +8,7 @@
 #include <absl/status/status.h>
 #include <absl/status/statusor.h>
 
+#include "lists/lists_document.h"
 #include "peers/fetched_lists.h"
 
 namespace sassafras {
@@ -27,10 +28,13 @@
 
   /** Starts to serve at IP:port. */
   absl::Status Start(const std::string& address);
-  /** Sets the document that peers may fetch from here. */
-  void Publish(FetchedLists lists);
-  /** Asks a peer for lists above `above`; `on_fetched` is called once, on the RPC thread. */
-  void Fetch(std::string address, uint64_t above, OnFetched on_fetched);
+  /** Adds the newest document, which peers may fetch from here; a few earlier ones are kept to make deltas. */
+  void Publish(std::shared_ptr<const ListsDocument> document);
+  /**
+   * Asks a peer for lists above `above`; `on_fetched` is called once, on the RPC thread.
+   * @param whole  ask for the whole document, not for a delta
+   */
+  void Fetch(std::string address, uint64_t above, bool whole, OnFetched on_fetched);
 
  private:
   struct Shared;
--- a/libs/peers/src/gossip_codec.cc
+++ b/libs/peers/src/gossip_codec.cc
@@ -21,7 +21,7 @@
 /** Words that reading one datagram may visit, and how deep it may nest. */
 constexpr uint64_t kReadLimitWords = 4'096;
 constexpr int kNestingLimit = 8;
-constexpr size_t kMaxItems = 64;
+constexpr size_t kMaxItems = 128;
 constexpr size_t kMaxNameBytes = 128;
 constexpr milliseconds kMaxLifetime = std::chrono::hours(1);
 
@@ -78,7 +78,8 @@
   message.reply_to = in.getReplyTo();
   constexpr uint64_t kMaxAge = 1'000'000'000;
   message.store_age = milliseconds(std::min<uint64_t>(in.getStoreAgeMillis(), kMaxAge));
-  const size_t items = in.getRumors().size() + in.getLoads().size() + in.getMembers().size();
+  const size_t items =
+      in.getRumors().size() + in.getLoads().size() + in.getMembers().size() + in.getHeartbeats().size();
   KJ_REQUIRE(items <= kMaxItems, "too many items");
   for (const wire::Rumor::Reader rumor : in.getRumors())
     message.rumors.push_back(ReadRumor(rumor));
@@ -86,6 +87,8 @@
     message.loads.push_back({load.getEndpoint(), load.getInFlight(), milliseconds(load.getAgeMillis())});
   for (const wire::Member::Reader member : in.getMembers())
     message.members.push_back(ReadMember(member));
+  for (const wire::Heartbeat::Reader heartbeat : in.getHeartbeats())
+    message.heartbeats.push_back({heartbeat.getId(), heartbeat.getHeartbeat()});
   return message;
 }
 
@@ -116,6 +119,11 @@
   auto members = gossip.initMembers(static_cast<uint32_t>(message.members.size()));
   for (uint32_t i = 0; i < members.size(); ++i)
     WriteMember(message.members[i], members[i]);
+  auto heartbeats = gossip.initHeartbeats(static_cast<uint32_t>(message.heartbeats.size()));
+  for (uint32_t i = 0; i < heartbeats.size(); ++i) {
+    heartbeats[i].setId(message.heartbeats[i].id);
+    heartbeats[i].setHeartbeat(message.heartbeats[i].heartbeat);
+  }
   kj::VectorOutputStream output;
   capnp::writePackedMessage(output, builder);
   const auto bytes = output.getArray();
--- a/libs/peers/src/peer.capnp
+++ b/libs/peers/src/peer.capnp
@@ -11,7 +11,7 @@
   address @2 :Text;
   peerAddress @3 :Text;
   incarnation @4 :UInt64;
-  heartbeat @5 :UInt64;
+  heartbeat @5 :UInt32;
   epoch @6 :UInt32;
   leaving @7 :Bool;
 }
@@ -36,6 +36,11 @@
   ageMillis @2 :UInt32;
 }
 
+struct Heartbeat {
+  id @0 :UInt32;
+  heartbeat @1 :UInt32;
+}
+
 struct Gossip {
   sender @0 :Member;
   generation @1 :UInt64;
@@ -45,9 +50,27 @@
   members @5 :List(Member);
   ask @6 :UInt64;
   replyTo @7 :UInt64;
+  heartbeats @8 :List(Heartbeat);
+}
+
+struct TextDelta {
+  keptStart @0 :UInt32;
+  keptEnd @1 :UInt32;
+  middle @2 :Data;
+}
+
+struct ListsDelta {
+  baseGeneration @0 :UInt64;
+  generation @1 :UInt64;
+  author @2 :Text;
+  newChanges @3 :List(Text);
+  plans @4 :TextDelta;
+  upstreams @5 :TextDelta;
+  resultHash @6 :UInt64;
 }
 
 interface Peer {
-  # Returns the stored document if its generation is above `above`, else only the generation held.
-  fetchLists @0 (above :UInt64) -> (generation :UInt64, document :Data);
+  fetchLists @0 (above :UInt64, whole :Bool) -> (generation :UInt64, document :Data, delta :ListsDelta);
+  # Returns what is held above generation `above`: a delta from that generation if the peer still has it and
+  # `whole` is not set, else the whole document. If nothing is above it, only the generation held.
 }
--- a/libs/peers/src/peer_rpc.cc
+++ b/libs/peers/src/peer_rpc.cc
@@ -3,7 +3,8 @@
 #include <sys/eventfd.h>
 #include <unistd.h>
 
-#include <cstring>
+#include <algorithm>
+#include <deque>
 #include <future>
 #include <mutex>
 #include <thread>
@@ -17,6 +18,8 @@
 
 #include "base/error.h"
 #include "generated/peer.capnp.h"
+#include "lists/lists_delta.h"
+#include "lists_delta_codec.h"
 #include "net/http_client.h"
 
 namespace sassafras {
@@ -25,6 +28,8 @@
 constexpr kj::Duration kCallLimit = 1'500 * kj::MILLISECONDS;
 /** Words that a peer's answer may take: a document of the largest size and some room. */
 constexpr uint64_t kReadLimitWords = 256u * 1'024u;
+/** Documents kept to make deltas from. */
+constexpr size_t kDocumentsKept = 4;
 
 }  // namespace
 
@@ -33,6 +38,7 @@
   struct Request {
     std::string address;
     uint64_t above = 0;
+    bool whole = false;
     OnFetched on_fetched;
   };
 
@@ -44,7 +50,8 @@
   }
 
   std::mutex mutex;
-  FetchedLists lists;
+  /** Newest last. */
+  std::deque<std::shared_ptr<const ListsDocument>> documents;
   std::vector<Request> requests;
   bool stop = false;
   int wake_fd = ::eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC);
@@ -61,18 +68,37 @@
 
  protected:
   kj::Promise<void> fetchLists(FetchListsContext context) override {
-    const std::lock_guard lock(m_shared->mutex);
-    const FetchedLists& lists = m_shared->lists;
+    const uint64_t above = context.getParams().getAbove();
+    const auto [newest, base] = Find(above);
     auto results = context.getResults();
-    results.setGeneration(lists.generation);
-    if (lists.generation > context.getParams().getAbove()) {
-      results.setDocument(
-          kj::arrayPtr(reinterpret_cast<const kj::byte*>(lists.document.data()), lists.document.size()));
+    if (newest == nullptr)
+      return kj::READY_NOW;
+    results.setGeneration(newest->generation);
+    if (newest->generation <= above)
+      return kj::READY_NOW;
+    const auto delta = base == nullptr || context.getParams().getWhole() ? std::nullopt : MakeDelta(*base, *newest);
+    if (delta.has_value()) {
+      WriteDelta(*delta, results.initDelta());
+      return kj::READY_NOW;
     }
+    const auto text = EncodeDocument(*newest);
+    if (text.ok())
+      results.setDocument(kj::arrayPtr(reinterpret_cast<const kj::byte*>(text->data()), text->size()));
     return kj::READY_NOW;
   }
 
  private:
+  using Document = std::shared_ptr<const ListsDocument>;
+
+  /** The newest document and the one of the given generation, where they are held. */
+  std::pair<Document, Document> Find(uint64_t generation) const {
+    const std::lock_guard lock(m_shared->mutex);
+    const auto& documents = m_shared->documents;
+    const auto base = std::find_if(documents.begin(), documents.end(),
+                                   [&](const Document& document) { return document->generation == generation; });
+    return {documents.empty() ? nullptr : documents.back(), base == documents.end() ? nullptr : *base};
+  }
+
   std::shared_ptr<Shared> m_shared;
 };
 
@@ -107,22 +133,25 @@
   void taskFailed(kj::Exception&& /*exception*/) override {}
 };
 
-kj::Promise<FetchedLists> FetchFrom(kj::Network& network, const std::string& address, uint64_t above) {
+kj::Promise<FetchedLists> FetchFrom(kj::Network& network, const std::string& address, uint64_t above, bool whole) {
   return network.parseAddress(address.c_str())
       .then([](kj::Own<kj::NetworkAddress> parsed) {
         auto connected = parsed->connect();
         return connected.attach(kj::mv(parsed));
       })
-      .then([above](kj::Own<kj::AsyncIoStream> stream) {
+      .then([above, whole](kj::Own<kj::AsyncIoStream> stream) {
         auto client = kj::heap<Client>(kj::mv(stream));
         auto request = client->Peer().fetchListsRequest();
         request.setAbove(above);
+        request.setWhole(whole);
         return request.send()
             .then([](capnp::Response<wire::Peer::FetchListsResults> response) {
               FetchedLists lists;
               lists.generation = response.getGeneration();
               const auto document = response.getDocument();
               lists.document.assign(reinterpret_cast<const char*>(document.begin()), document.size());
+              if (response.hasDelta())
+                lists.delta = ReadDelta(response.getDelta());
               return lists;
             })
             .attach(kj::mv(client));
@@ -171,16 +200,16 @@
       requests.swap(m_shared->requests);
     }
     for (auto& request : requests)
-      m_tasks.add(Serve(std::move(request.address), request.above, std::move(request.on_fetched)));
+      m_tasks.add(Serve(std::move(request)));
     return false;
   }
 
-  kj::Promise<void> Serve(std::string address, uint64_t above, PeerRpc::OnFetched on_fetched) {
-    auto callback = std::make_shared<PeerRpc::OnFetched>(std::move(on_fetched));
+  kj::Promise<void> Serve(typename Shared::Request request) {
+    auto callback = std::make_shared<PeerRpc::OnFetched>(std::move(request.on_fetched));
     return m_io.provider->getTimer()
-        .timeoutAfter(kCallLimit, FetchFrom(m_io.provider->getNetwork(), address, above))
+        .timeoutAfter(kCallLimit, FetchFrom(m_io.provider->getNetwork(), request.address, request.above, request.whole))
         .then([callback](FetchedLists lists) { (*callback)(std::move(lists)); },
-              [callback, address](kj::Exception&& failure) {
+              [callback, address = request.address](kj::Exception&& failure) {
                 (*callback)(MakeError(ErrorKind::kUnreachable,
                                       fmt::format("peer {}: {}", address, failure.getDescription().cStr()),
                                       "check that the peer runs"));
@@ -222,15 +251,17 @@
   return result.get();
 }
 
-void PeerRpc::Publish(FetchedLists lists) {
+void PeerRpc::Publish(std::shared_ptr<const ListsDocument> document) {
   const std::lock_guard lock(m_shared->mutex);
-  m_shared->lists = std::move(lists);
+  m_shared->documents.push_back(std::move(document));
+  if (m_shared->documents.size() > kDocumentsKept)
+    m_shared->documents.pop_front();
 }
 
-void PeerRpc::Fetch(std::string address, uint64_t above, OnFetched on_fetched) {
+void PeerRpc::Fetch(std::string address, uint64_t above, bool whole, OnFetched on_fetched) {
   {
     const std::lock_guard lock(m_shared->mutex);
-    m_shared->requests.push_back({std::move(address), above, std::move(on_fetched)});
+    m_shared->requests.push_back({std::move(address), above, whole, std::move(on_fetched)});
   }
   m_shared->Wake();
 }
--- /dev/null
+++ b/libs/peers/tests/peer_rpc_test.cc
@@ -0,0 +1,60 @@
+#include <doctest/doctest.h>
+
+#include <future>
+#include <memory>
+#include <string>
+
+#include "lists/lists_delta.h"
+#include "peers/peer_rpc.h"
+
+namespace sassafras {
+namespace {
+
+constexpr const char* kServer = "127.0.0.1:19011";
+constexpr const char* kClient = "127.0.0.1:19012";
+
+std::shared_ptr<const ListsDocument> MakeDocument(uint64_t generation) {
+  auto document = std::make_shared<ListsDocument>();
+  document->generation = generation;
+  document->plans_toml = std::string(100'000, 'p') + std::to_string(generation);
+  for (uint64_t i = 1; i <= generation; ++i)
+    document->changes.push_back(std::to_string(i));
+  return document;
+}
+
+absl::StatusOr<FetchedLists> Fetch(PeerRpc& rpc, const std::string& address, uint64_t above, bool whole) {
+  std::promise<absl::StatusOr<FetchedLists>> fetched;
+  rpc.Fetch(address, above, whole, [&](absl::StatusOr<FetchedLists> lists) { fetched.set_value(std::move(lists)); });
+  return fetched.get_future().get();
+}
+
+TEST_CASE("peers fetch documents, deltas or nothing") {
+  PeerRpc server;
+  PeerRpc client;
+  REQUIRE(server.Start(kServer).ok());
+  REQUIRE(client.Start(kClient).ok());
+  CHECK(Fetch(client, kServer, 0, false)->generation == 0);
+  server.Publish(MakeDocument(1));
+  server.Publish(MakeDocument(2));
+
+  const auto whole = Fetch(client, kServer, 0, false);
+  REQUIRE(whole.ok());
+  CHECK(whole->generation == 2);
+  CHECK(DecodeDocument(whole->document)->plans_toml == MakeDocument(2)->plans_toml);
+
+  const auto delta = Fetch(client, kServer, 1, false);
+  REQUIRE(delta.ok());
+  CHECK(delta->document.empty());
+  REQUIRE(delta->delta.has_value());
+  CHECK(ApplyDelta(*MakeDocument(1), *delta->delta)->plans_toml == MakeDocument(2)->plans_toml);
+
+  CHECK_FALSE(Fetch(client, kServer, 1, true)->document.empty());
+  const auto nothing = Fetch(client, kServer, 2, false);
+  CHECK(nothing->document.empty());
+  CHECK_FALSE(nothing->delta.has_value());
+  CHECK_FALSE(Fetch(client, "127.0.0.1:1", 0, false).ok());
+  CHECK_FALSE(PeerRpc().Start(kServer).ok());
+}
+
+}  // namespace
+}  // namespace sassafras
--- a/libs/store/include/store/etcd_client.h
+++ b/libs/store/include/store/etcd_client.h
@@ -37,15 +37,17 @@
   EtcdClient(std::vector<std::string> addresses, std::string holder);
 
   boost::asio::awaitable<absl::StatusOr<StoredValue>> Read() override;
+  boost::asio::awaitable<absl::StatusOr<StoredValue>> ReadRevision() override;
   boost::asio::awaitable<absl::StatusOr<bool>> CompareAndSwap(int64_t expected_revision, std::string value) override;
-  boost::asio::awaitable<absl::Status> Watch(std::function<void(StoredValue)> on_change) override;
+  boost::asio::awaitable<absl::Status> Watch(std::function<void(StoredValue)> on_change, StreamStop& stop) override;
   boost::asio::awaitable<absl::StatusOr<bool>> Claim(uint32_t seat) override;
   boost::asio::awaitable<absl::Status> Release(uint32_t seat) override;
   std::chrono::seconds Ttl() const override;
-  boost::asio::awaitable<absl::StatusOr<std::vector<DirectoryEntry>>> List() override;
+  boost::asio::awaitable<absl::StatusOr<DirectoryListing>> List(int64_t since) override;
 
  private:
   boost::asio::awaitable<absl::StatusOr<boost::json::value>> Call(std::string target, boost::json::value body);
+  boost::asio::awaitable<absl::StatusOr<StoredValue>> ReadLists(boost::json::value range);
   boost::asio::awaitable<absl::StatusOr<bool>> Renew(uint32_t seat);
   boost::asio::awaitable<absl::StatusOr<bool>> Acquire(uint32_t seat);
   boost::asio::awaitable<absl::Status> Revoke(std::string lease);
--- a/libs/store/include/store/instance_directory.h
+++ b/libs/store/include/store/instance_directory.h
@@ -1,11 +1,11 @@
 #pragma once
 
-#include <vector>
+#include <cstdint>
 
 #include <absl/status/statusor.h>
 #include <boost/asio/awaitable.hpp>
 
-#include "store/directory_entry.h"
+#include "store/directory_listing.h"
 
 namespace sassafras {
 
@@ -13,7 +13,12 @@
 class InstanceDirectory {
  public:
   virtual ~InstanceDirectory() = default;
-  virtual boost::asio::awaitable<absl::StatusOr<std::vector<DirectoryEntry>>> List() = 0;
+  /**
+   * Reads the list.
+   * @param since  revision of an earlier listing, to get only what changed after it; 0 for the whole list.
+   *               Entries that were removed show only in a whole list.
+   */
+  virtual boost::asio::awaitable<absl::StatusOr<DirectoryListing>> List(int64_t since) = 0;
 };
 
 }  // namespace sassafras
--- a/libs/store/src/etcd_client.cc
+++ b/libs/store/src/etcd_client.cc
@@ -51,7 +51,8 @@
   StoredValue value;
   value.exists = true;
   value.revision = Number(kv, "mod_revision");
-  value.value = Decode(kv.at("value"));
+  if (kv.contains("value"))
+    value.value = Decode(kv.at("value"));
   return value;
 }
 
@@ -88,10 +89,17 @@
   return json::object{{"key", Encode(key)}};
 }
 
-json::value RangeOfPrefix(std::string_view prefix) {
+json::value RevisionOf(std::string_view key) {
+  return json::object{{"key", Encode(key)}, {"keys_only", true}};
+}
+
+json::value RangeOfPrefix(std::string_view prefix, int64_t since) {
   std::string end(prefix);
   ++end.back();
-  return json::object{{"key", Encode(prefix)}, {"range_end", Encode(end)}};
+  json::object range{{"key", Encode(prefix)}, {"range_end", Encode(end)}};
+  if (since > 0)
+    range["min_mod_revision"] = std::to_string(since + 1);
+  return range;
 }
 
 json::value WatchOf(std::string_view key) {
@@ -153,7 +161,15 @@
 }
 
 asio::awaitable<absl::StatusOr<StoredValue>> EtcdClient::Read() {
-  auto reply = co_await Call("/v3/kv/range", RangeOf(kListsKey));
+  co_return co_await ReadLists(RangeOf(kListsKey));
+}
+
+asio::awaitable<absl::StatusOr<StoredValue>> EtcdClient::ReadRevision() {
+  co_return co_await ReadLists(RevisionOf(kListsKey));
+}
+
+asio::awaitable<absl::StatusOr<StoredValue>> EtcdClient::ReadLists(json::value range) {
+  auto reply = co_await Call("/v3/kv/range", std::move(range));
   if (!reply.ok())
     co_return reply.status();
   try {
@@ -172,26 +188,28 @@
   co_return Succeeded(*reply);
 }
 
-asio::awaitable<absl::Status> EtcdClient::Watch(std::function<void(StoredValue)> on_change) {
+asio::awaitable<absl::Status> EtcdClient::Watch(std::function<void(StoredValue)> on_change, StreamStop& stop) {
   if (m_addresses.empty())
     co_return MakeError(ErrorKind::kUnreachable, "platform: no address is set", "set 'platform'");
   const std::string& address = m_addresses[m_current % m_addresses.size()];
-  co_return co_await StreamHttp(address, "/v3/watch", json::serialize(WatchOf(kListsKey)), kWatchSilence,
-                                [&on_change](std::string_view line) {
-                                  boost::system::error_code error;
-                                  const json::value value = json::parse(line, error);
-                                  if (error || !value.is_object())
-                                    return;
-                                  try {
-                                    const json::value* events = value.at("result").as_object().if_contains("events");
-                                    if (events == nullptr)
-                                      return;
-                                    for (const json::value& event : events->as_array())
-                                      on_change(ParseKv(event.at("kv").as_object()));
-                                  } catch (const std::exception&) {
-                                    // An event that cannot be read is made good by the watcher's next read.
-                                  }
-                                });
+  co_return co_await StreamHttp(
+      address, "/v3/watch", json::serialize(WatchOf(kListsKey)), kWatchSilence,
+      [&on_change](std::string_view line) {
+        boost::system::error_code error;
+        const json::value value = json::parse(line, error);
+        if (error || !value.is_object())
+          return;
+        try {
+          const json::value* events = value.at("result").as_object().if_contains("events");
+          if (events == nullptr)
+            return;
+          for (const json::value& event : events->as_array())
+            on_change(ParseKv(event.at("kv").as_object()));
+        } catch (const std::exception&) {
+          // An event that cannot be read is made good by the watcher's next read.
+        }
+      },
+      stop);
 }
 
 asio::awaitable<absl::StatusOr<bool>> EtcdClient::Claim(uint32_t seat) {
@@ -257,20 +275,22 @@
   co_return co_await Revoke(held.mapped());
 }
 
-asio::awaitable<absl::StatusOr<std::vector<DirectoryEntry>>> EtcdClient::List() {
-  auto reply = co_await Call("/v3/kv/range", RangeOfPrefix(kInstancePrefix));
+asio::awaitable<absl::StatusOr<DirectoryListing>> EtcdClient::List(int64_t since) {
+  auto reply = co_await Call("/v3/kv/range", RangeOfPrefix(kInstancePrefix, since));
   if (!reply.ok())
     co_return reply.status();
-  std::vector<DirectoryEntry> entries;
+  DirectoryListing listing;
+  listing.whole = since == 0;
   try {
+    listing.revision = Number(reply->at("header").as_object(), "revision");
     if (!HasKeys(*reply))
-      co_return entries;
+      co_return listing;
     for (const json::value& kv : reply->at("kvs").as_array())
-      entries.push_back(ParseEntry(Decode(kv.at("value"))));
+      listing.entries.push_back(ParseEntry(Decode(kv.at("value"))));
   } catch (const std::exception& error) {
     co_return BadReply(error.what());
   }
-  co_return entries;
+  co_return listing;
 }
 
 }  // namespace sassafras
--- a/tools/common/http_service.cc
+++ b/tools/common/http_service.cc
@@ -85,6 +85,14 @@
   co_return keep && !error;
 }
 
+bool IsClosed(beast::tcp_stream& stream) {
+  char byte = 0;
+  error_code error;
+  stream.socket().non_blocking(true, error);
+  const size_t size = stream.socket().receive(asio::buffer(&byte, 1), asio::socket_base::message_peek, error);
+  return size == 0 && error != asio::error::would_block;
+}
+
 HttpService::Response MakeResponse(const HttpService::Request& request, int status, std::string body) {
   HttpService::Response response(static_cast<http::status>(status), 11);
   response.keep_alive(request.keep_alive());
--- a/tools/common/http_service.h
+++ b/tools/common/http_service.h
@@ -43,6 +43,9 @@
 /** Writes a whole response; returns whether the connection may be kept. */
 boost::asio::awaitable<bool> WriteResponse(boost::beast::tcp_stream& stream, HttpService::Response response);
 
+/** Whether the client closed its connection, which cancels its request. */
+bool IsClosed(boost::beast::tcp_stream& stream);
+
 /** Makes a response to the request with a body and its length set. */
 HttpService::Response MakeResponse(const HttpService::Request& request, int status, std::string body);
 
--- a/tools/lab/lab.py
+++ b/tools/lab/lab.py
@@ -1,6 +1,7 @@
 """Starts a small fleet of stand-ins and entry instances on loopback, for the demo, tests and experiments.
 
-Every process is started and ended by this module, by its own pid.
+Every process is started and ended by this module, by its own pid. Ports stay below 32768, where the system
+takes ports for outgoing connections from.
 """
 import json
 import os
--- a/tools/platform_standin/platform.h
+++ b/tools/platform_standin/platform.h
@@ -45,6 +45,7 @@
   struct Snapshot {
     std::chrono::steady_clock::time_point at;
     KeyMap keys;
+    int64_t revision = 0;
   };
 
   boost::asio::awaitable<bool> Handle(const Request& request, boost::beast::tcp_stream& stream);
@@ -60,9 +61,10 @@
   void Erase(const std::string& key);
   void Notify(const std::string& key);
   void ExpireLeases();
-  const KeyMap& KeysFor(const std::string& key) const;
+  /** State that a read of the key sees: an older one while the list of instances lags or reads are stale. */
+  Snapshot StateFor(const std::string& key) const;
   void ScheduleSweep();
-  Json Header() const;
+  static Json Header(int64_t revision);
 
   boost::asio::io_context& m_context;
   HttpService m_service;
