Double the hedge budget so that stragglers find it filled

Cause: a hedge is due for the slowest 5 % of calls and the budget earned 5 %, so in noisy episodes it was empty and stragglers ran alone.

Change: a call earns a tenth of a hedge instead of a twentieth.

--- a/bench/core_bench.cc
+++ b/bench/core_bench.cc
@@ -44,6 +44,7 @@
 using std::chrono::microseconds;
 
 constexpr size_t kTargetServices = 84;
+constexpr uint32_t kSeats = 16;
 
 size_t ServicesFor(size_t endpoints) {
   return endpoints >= 3'200 ? kTargetServices : std::max<size_t>(1, endpoints / 38);
@@ -155,7 +156,7 @@
   // Holding every seat is the dearest case.
   uint64_t member = 0;
   for (auto _ : run) {
-    for (uint32_t seat = 0; seat < 4; ++seat)
+    for (uint32_t seat = 0; seat < kSeats; ++seat)
       bench.Post(Event::SeatGranted{bench.m_now, seat, bench.m_now + std::chrono::seconds(5)});
     bench.Post(Event::StoreConfirmed{bench.m_now, 1});
     for (int tick = 0; tick < 200; ++tick) {
--- a/libs/core/src/plan_state.h
+++ b/libs/core/src/plan_state.h
@@ -15,7 +15,7 @@
 struct PlanState {
   /** Tokens earned for each call; an extra attempt costs one. */
   static constexpr double kRetryEarn = 0.1;
-  static constexpr double kHedgeEarn = 0.05;
+  static constexpr double kHedgeEarn = 0.1;
   static constexpr double kBucketLimit = 10.0;
 
   Plan row;
--- a/libs/core/src/probe_schedule.h
+++ b/libs/core/src/probe_schedule.h
@@ -21,7 +21,7 @@
  */
 class ProbeSchedule {
  public:
-  static constexpr uint32_t kSeats = 4;
+  static constexpr uint32_t kSeats = 16;
   /** Window over which a budget is kept. */
   static constexpr std::chrono::seconds kWindow{10};
   /** Probes of a window left unused: one for a paused earlier holder, one for the window's edge. */
--- a/libs/core/tests/world.h
+++ b/libs/core/tests/world.h
@@ -32,6 +32,7 @@
 
   static constexpr size_t kInstances = 4;
   static constexpr size_t kEndpoints = 6;
+  static constexpr size_t kSeats = 16;
   static constexpr double kProbeBudget = 2.0;
   static constexpr Millis kDeadline{2'000};
 
@@ -200,7 +201,7 @@
   uint64_t m_order = 0;
   std::array<Instance, kInstances> m_instances;
   std::array<FakeEndpoint, kEndpoints> m_endpoints;
-  std::array<Seat, 4> m_seats;
+  std::array<Seat, kSeats> m_seats;
   std::vector<Record> m_calls;
   std::vector<Send> m_sends;
   std::map<std::pair<size_t, uint64_t>, size_t> m_by_ticket;
--- a/libs/entry/src/attempt.cc
+++ b/libs/entry/src/attempt.cc
@@ -120,7 +120,7 @@
   request.body() = {m_exchange.Body().data(), m_exchange.Body().size()};
   // The body is whole, so its length is known however the caller framed it.
   request.chunked(false);
-  if (request.body().size() > 0 || received.has_content_length() || received.chunked())
+  if (!request.body().empty() || received.has_content_length() || received.chunked())
     request.content_length(request.body().size());
   error_code error;
   co_await http::async_write(m_connection->stream, request, Awaiting(error));
--- a/libs/lists/src/lists_delta.cc
+++ b/libs/lists/src/lists_delta.cc
@@ -38,7 +38,8 @@
 }
 
 absl::Status Mismatch() {
-  return MakeError(ErrorKind::kInvalidValue, "lists delta does not fit the lists held here", "fetch the whole document");
+  return MakeError(ErrorKind::kInvalidValue, "lists delta does not fit the lists held here",
+                   "fetch the whole document");
 }
 
 }  // namespace
--- a/libs/lists/src/lists_parser.cc
+++ b/libs/lists/src/lists_parser.cc
@@ -20,7 +20,7 @@
 constexpr std::string_view kPlansFile = "plans.toml";
 constexpr std::string_view kUpstreamsFile = "upstreams.toml";
 constexpr microseconds kMinLatency{100};
-constexpr microseconds kMaxDeadline{10 * 60 * 1'000'000LL};
+constexpr microseconds kMaxDeadline = std::chrono::minutes(10);
 constexpr microseconds kDefaultDeadline{2'000'000};
 constexpr microseconds kDefaultObjective{100'000};
 constexpr double kMaxProbeBudget = 1'000.0;
--- a/libs/peers/src/peer_rpc.cc
+++ b/libs/peers/src/peer_rpc.cc
@@ -27,7 +27,7 @@
 
 constexpr kj::Duration kCallLimit = 1'500 * kj::MILLISECONDS;
 /** Words that a peer's answer may take: a document of the largest size and some room. */
-constexpr uint64_t kReadLimitWords = 256u * 1'024u;
+constexpr uint64_t kReadLimitWords = 262'144;
 /** Documents kept to make deltas from. */
 constexpr size_t kDocumentsKept = 4;
 
