Give listening, number reading and list loading one place each

Cause: the daemon and the stand-ins opened listeners with the same lines, two files read numbers from headers with the same template, and three commands of sassafrasctl loaded and checked a working copy in two steps.

Change: OpenListener, ParseNumber, WorkingCopy::Load.

--- a/daemons/sassafrasctl/apply.cc
+++ b/daemons/sassafrasctl/apply.cc
@@ -68,9 +68,7 @@
 
 asio::awaitable<ExitCode> Apply::Run() {
   WorkingCopy copy(m_options.dir);
-  if (absl::Status status = copy.Load(); !status.ok())
-    co_return Fail(status);
-  if (const auto lists = copy.Check(); !lists.ok())
+  if (const auto lists = copy.Load(); !lists.ok())
     co_return Fail(lists.status());
   co_return co_await RunChecked(copy);
 }
--- a/daemons/sassafrasctl/commands.cc
+++ b/daemons/sassafrasctl/commands.cc
@@ -54,9 +54,7 @@
 
 asio::awaitable<ExitCode> Commands::Check() {
   WorkingCopy copy(m_options.dir);
-  if (absl::Status status = copy.Load(); !status.ok())
-    co_return Fail(status);
-  const auto lists = copy.Check();
+  const auto lists = copy.Load();
   if (!lists.ok())
     co_return Fail(lists.status());
   m_printer.Result({{"result", "valid"},
@@ -89,9 +87,7 @@
 
 asio::awaitable<ExitCode> Commands::Diff() {
   WorkingCopy copy(m_options.dir);
-  if (absl::Status status = copy.Load(); !status.ok())
-    co_return Fail(status);
-  const auto lists = copy.Check();
+  const auto lists = copy.Load();
   if (!lists.ok())
     co_return Fail(lists.status());
   const auto value = co_await m_store.Read();
--- a/daemons/sassafrasctl/working_copy.cc
+++ b/daemons/sassafrasctl/working_copy.cc
@@ -40,7 +40,7 @@
   return (std::filesystem::path(m_dir) / name).string();
 }
 
-absl::Status WorkingCopy::Load() {
+absl::StatusOr<Lists> WorkingCopy::Load() {
   auto plans = ReadFile(PathOf(kPlansFile));
   if (!plans.ok())
     return plans.status();
@@ -49,10 +49,6 @@
     return upstreams.status();
   m_plans = *std::move(plans);
   m_upstreams = *std::move(upstreams);
-  return absl::OkStatus();
-}
-
-absl::StatusOr<Lists> WorkingCopy::Check() const {
   return ParseLists(m_plans, m_upstreams);
 }
 
--- a/daemons/sassafrasctl/working_copy.h
+++ b/daemons/sassafrasctl/working_copy.h
@@ -16,10 +16,8 @@
  public:
   explicit WorkingCopy(std::string dir);
 
-  /** Reads both lists as edited. */
-  absl::Status Load();
-  /** Parses and checks the lists; messages name the row and the remedy. */
-  absl::StatusOr<Lists> Check() const;
+  /** Reads, parses and checks both lists as edited; messages name the row and the remedy. */
+  absl::StatusOr<Lists> Load();
   /** The document the edit is based on, if this folder has one. */
   absl::StatusOr<std::optional<ListsDocument>> Base() const;
   /** Remembers the document that the lists now stand for. */
--- a/libs/entry/src/entry_instance.cc
+++ b/libs/entry/src/entry_instance.cc
@@ -13,14 +13,13 @@
 
 #include "admin_pages.h"
 #include "base/counters.h"
-#include "base/error.h"
 #include "base/log.h"
 #include "caller_session.h"
 #include "control_sink.h"
 #include "core/gossip_message.h"
 #include "core/state_options.h"
 #include "engine.h"
-#include "net/http_client.h"
+#include "net/listener.h"
 #include "peers/gossip_socket.h"
 #include "peers/peer_rpc.h"
 #include "platform_link.h"
@@ -96,7 +95,6 @@
   void OnEffect(const Effect::CloseListeners& effect) override;
 
  private:
-  absl::Status Listen();
   asio::awaitable<void> Accept();
   asio::awaitable<void> Serve(asio::ip::tcp::socket socket);
   void ScheduleTick();
@@ -125,27 +123,8 @@
   size_t m_cut = 0;
 };
 
-absl::Status EntryInstance::Impl::Listen() {
-  const auto address = ParseAddress(m_settings.listen);
-  if (!address.ok())
-    return address.status();
-  error_code error;
-  m_acceptor.open(address->protocol(), error);
-  if (!error)
-    m_acceptor.set_option(asio::socket_base::reuse_address(true), error);
-  if (!error)
-    m_acceptor.bind(*address, error);
-  if (!error)
-    m_acceptor.listen(asio::socket_base::max_listen_connections, error);
-  if (error) {
-    return MakeError(ErrorKind::kUnreachable, fmt::format("listen {}: {}", m_settings.listen, error.message()),
-                     "use an address of this instance whose TCP port is free");
-  }
-  return absl::OkStatus();
-}
-
 absl::Status EntryInstance::Impl::Start() {
-  absl::Status status = Listen();
+  absl::Status status = OpenListener(m_acceptor, m_settings.listen, "listen");
   if (status.ok())
     status = m_gossip.Open(m_settings.peer_listen);
   if (status.ok())
--- a/libs/entry/src/request_facts.cc
+++ b/libs/entry/src/request_facts.cc
@@ -1,12 +1,12 @@
 #include "request_facts.h"
 
-#include <charconv>
 #include <chrono>
 
 #include <fmt/format.h>
 
 #include "base/error.h"
 #include "base/hash.h"
+#include "base/parse_number.h"
 
 namespace sassafras {
 namespace {
@@ -15,12 +15,6 @@
 constexpr uint64_t kHighSeed = 0x68696768;
 constexpr uint64_t kLowSeed = 0x6c6f77;
 
-template <typename Number>
-bool ReadNumber(std::string_view text, Number& value, int base) {
-  const auto parsed = std::from_chars(text.data(), text.data() + text.size(), value, base);
-  return !text.empty() && parsed.ec == std::errc() && parsed.ptr == text.data() + text.size();
-}
-
 std::string_view Text(const http::fields& fields, std::string_view name) {
   const auto value = fields[name];
   return {value.data(), value.size()};
@@ -35,8 +29,8 @@
   if (middle == std::string_view::npos || middle == 0)
     return false;
   idempotency.owner = std::string(text.substr(0, middle));
-  return ReadNumber(text.substr(middle + 1, last - middle - 1), idempotency.owner_incarnation, 16) &&
-         ReadNumber(text.substr(last + 1), idempotency.owner_epoch, 10);
+  return ParseNumber(text.substr(middle + 1, last - middle - 1), idempotency.owner_incarnation, 16) &&
+         ParseNumber(text.substr(last + 1), idempotency.owner_epoch);
 }
 
 }  // namespace
@@ -54,7 +48,7 @@
   if (text.empty())
     return Duration::max();
   uint32_t millis = 0;
-  if (!ReadNumber(text, millis, 10)) {
+  if (!ParseNumber(text, millis)) {
     return MakeError(ErrorKind::kInvalidValue, fmt::format("{} is not a whole number", kDeadlineHeader),
                      "send the milliseconds left, such as 250");
   }
--- a/libs/entry/src/upstream_headers.cc
+++ b/libs/entry/src/upstream_headers.cc
@@ -1,12 +1,13 @@
 #include "upstream_headers.h"
 
 #include <array>
-#include <charconv>
 #include <string>
 #include <vector>
 
 #include <boost/beast/http/rfc7230.hpp>
 
+#include "base/parse_number.h"
+
 namespace sassafras {
 namespace {
 
@@ -17,12 +18,6 @@
   return {value.data(), value.size()};
 }
 
-template <typename Number>
-bool ReadNumber(std::string_view text, Number& value) {
-  const auto parsed = std::from_chars(text.data(), text.data() + text.size(), value);
-  return !text.empty() && parsed.ec == std::errc() && parsed.ptr == text.data() + text.size();
-}
-
 constexpr std::array<http::field, 7> kHopByHop = {
     http::field::connection, http::field::keep_alive, http::field::proxy_connection,  http::field::te,
     http::field::trailer,    http::field::upgrade,    http::field::proxy_authenticate};
@@ -31,8 +26,8 @@
 
 LoadReport ReadLoadReport(const http::fields& fields) {
   LoadReport report;
-  report.present = ReadNumber(Text(fields, kUpstreamLoad), report.in_flight);
-  ReadNumber(Text(fields, kUpstreamIncarnation), report.incarnation);
+  report.present = ParseNumber(Text(fields, kUpstreamLoad), report.in_flight);
+  ParseNumber(Text(fields, kUpstreamIncarnation), report.incarnation);
   report.draining = Text(fields, kUpstreamDraining) == "1";
   return report;
 }
--- /dev/null
+++ b/libs/net/include/net/listener.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include <string>
+#include <string_view>
+
+#include <absl/status/status.h>
+#include <boost/asio/ip/tcp.hpp>
+
+namespace sassafras {
+
+/**
+ * Opens a listening socket at IP:port.
+ * @param setting  name of the setting or option that holds the address, for messages
+ */
+absl::Status OpenListener(boost::asio::ip::tcp::acceptor& acceptor,
+                          const std::string& address,
+                          std::string_view setting);
+
+}  // namespace sassafras
--- a/libs/net/src/http_client.cc
+++ b/libs/net/src/http_client.cc
@@ -1,6 +1,5 @@
 #include "net/http_client.h"
 
-#include <charconv>
 #include <utility>
 
 #include <boost/asio/this_coro.hpp>
@@ -11,6 +10,7 @@
 #include <fmt/format.h>
 
 #include "base/error.h"
+#include "base/parse_number.h"
 
 namespace sassafras {
 namespace {
@@ -83,9 +83,7 @@
   asio::ip::address ip;
   if (colon != std::string_view::npos) {
     ip = asio::ip::make_address(address.substr(0, colon), error);
-    const char* end = address.data() + address.size();
-    const auto parsed = std::from_chars(address.data() + colon + 1, end, port);
-    if (parsed.ec != std::errc() || parsed.ptr != end)
+    if (!ParseNumber(address.substr(colon + 1), port))
       error = asio::error::invalid_argument;
   }
   if (colon == std::string_view::npos || error) {
--- a/tools/common/http_service.cc
+++ b/tools/common/http_service.cc
@@ -8,10 +8,8 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
-#include <fmt/format.h>
 
-#include "base/error.h"
-#include "net/http_client.h"
+#include "net/listener.h"
 
 namespace sassafras {
 
@@ -24,20 +22,8 @@
     : m_context(context), m_handler(std::move(handler)), m_acceptor(context) {}
 
 absl::Status HttpService::Listen(const std::string& address) {
-  const auto endpoint = ParseAddress(address);
-  if (!endpoint.ok())
-    return endpoint.status();
-  error_code error;
-  m_acceptor.open(endpoint->protocol(), error);
-  if (!error)
-    m_acceptor.set_option(asio::socket_base::reuse_address(true), error);
-  if (!error)
-    m_acceptor.bind(*endpoint, error);
-  if (!error)
-    m_acceptor.listen(asio::socket_base::max_listen_connections, error);
-  if (error)
-    return MakeError(ErrorKind::kUnreachable, fmt::format("listen {}: {}", address, error.message()),
-                     "use a free port");
+  if (absl::Status status = OpenListener(m_acceptor, address, "--listen"); !status.ok())
+    return status;
   asio::co_spawn(m_context, Accept(), asio::detached);
   return absl::OkStatus();
 }
