Pass over late marks of the list for an incarnation that came after

Cause: the platform's list lags and its marks may lack an incarnation; such a mark was taken for the newest one seen. When the mark came after the endpoint had already come back, it hit the new incarnation and stayed: the endpoint got probes and no work. Seen in test_a_returning_upstream_is_used_again, one run of three (the two earlier ones had passed); the log shows nine probes after the restart and not one run.

Change: a mark without an incarnation does not count within 60 s after a new incarnation was seen; the list may take back a mark that only it made. A stop that reaches its limit leaves at once, since requests that were cut still refer to the instance.

Ruled out: lost rumours (probes saw the new incarnation, and callers' work stayed away from all instances), the ramp (it never goes to zero).

Conclusion: a report that cannot say which incarnation it means must not outlive one.

--- a/daemons/sassafrasd/main.cc
+++ b/daemons/sassafrasd/main.cc
@@ -77,7 +77,11 @@
   };
   wait();
   context.run();
-  return instance.CutRequests() == 0 ? 0 : kExitCut;
+  // Requests that were cut off still refer to parts of the instance, which would be gone before them. Nothing is
+  // kept in this process, so nothing has to be put away.
+  if (instance.CutRequests() > 0)
+    std::_Exit(kExitCut);
+  return 0;
 }
 
 }  // namespace
--- a/libs/core/src/control.cc
+++ b/libs/core/src/control.cc
@@ -37,6 +37,8 @@
 constexpr double kFleetPollRate = 8.0;
 constexpr seconds kRestorePeriod{5};
 constexpr seconds kSeatClaimPeriod{2};
+/** How far the platform's list may lag behind. */
+constexpr seconds kListLag{60};
 /** Time for word of a leaving instance to reach the others. */
 constexpr seconds kLeaveSpread{2};
 
@@ -173,17 +175,37 @@
   effects.push_back(Effect::RestoreLists{lists.generation});
 }
 
+namespace {
+
+/**
+ * Whether a mark of the list may speak of an earlier incarnation: the list lags, and a mark without an
+ * incarnation cannot say which one it means.
+ */
+bool MayBeOutdated(const EndpointState& state, const Event::DirectoryReceived::EndpointMark& mark, TimePoint now) {
+  return mark.incarnation == 0 && state.ramp_start != TimePoint() && now - state.ramp_start < kListLag;
+}
+
+void ApplyMark(Parts& parts, const Event::DirectoryReceived::EndpointMark& mark, TimePoint now) {
+  const EndpointHandle endpoint = parts.endpoints.FindByHash(Hash64(mark.name));
+  if (!endpoint.IsValid())
+    return;
+  EndpointState& state = parts.At(endpoint);
+  if (mark.leaving && !MayBeOutdated(state, mark, now))
+    NoteLeaving(parts, endpoint, mark.incarnation, now);
+  if (mark.leaving)
+    return;
+  NoteAlive(parts, endpoint, mark.incarnation, now);
+  // A mark that no incarnation stands behind came from the list alone, and the list takes it back.
+  if (state.leaving && state.leaving_incarnation == 0)
+    state.leaving = false;
+}
+
+}  // namespace
+
 void OnDirectoryReceived(Parts& parts, const Event::DirectoryReceived& event, Effects& /*effects*/) {
   parts.members.Listed(event.members, event.whole, event.now);
-  for (const auto& mark : event.endpoints) {
-    const EndpointHandle endpoint = parts.endpoints.FindByHash(Hash64(mark.name));
-    if (!endpoint.IsValid())
-      continue;
-    if (mark.leaving)
-      NoteLeaving(parts, endpoint, mark.incarnation, event.now);
-    else
-      NoteAlive(parts, endpoint, mark.incarnation, event.now);
-  }
+  for (const auto& mark : event.endpoints)
+    ApplyMark(parts, mark, event.now);
 }
 
 void OnProbeEnded(Parts& parts, const Event::ProbeEnded& event, Effects& /*effects*/) {
--- a/tests/process/leaving_test.py
+++ b/tests/process/leaving_test.py
@@ -77,3 +77,17 @@
             lab.start_entry(other)
             wait_for(lambda other=other: lab.status(other)["phase"] == "serving", f"{other.name} to serve")
         check_probe_budget(lab, per_second=1.0)
+
+
+def test_a_stop_that_reaches_its_limit_says_so():
+    with Lab(base_port=24000, entries=1, address_ttl="100ms", settings='stop_limit = "3s"\n') as lab:
+        entry = lab.entries[0]
+        load = lab.caller("name=invoices,method=POST,path=/arve,rate=20,work-us=8000000,fixed-work=1,deadline-ms=20000",
+                          seconds=1)
+        time.sleep(1)
+        assert lab.status(entry)["calls_in_progress"] > 0
+        entry.process.send_signal(signal.SIGTERM)
+        assert entry.process.wait() == 5, "cut requests were not reported"
+        assert "stop_limit_reached" in (lab.dir / f"{entry.name}.log").read_text()
+        load.wait()
+        assert all(outcome == "lost" or outcome.startswith("unknown") for _, _, outcome in lab.calls()), lab.calls()[:5]
