--- a/tools/lab/lab.py
+++ b/tools/lab/lab.py
@@ -6,6 +6,7 @@
 import json
 import os
 import pathlib
+import shutil
 import signal
 import subprocess
 import sys
@@ -209,5 +210,8 @@
             raise
         return self
 
-    def __exit__(self, *_):
+    def __exit__(self, kind, *_):
         self.stop()
+        # After a failure the logs are what tells why.
+        if kind is None:
+            shutil.rmtree(self.dir)
