--- a/libs/core/tests/directory_test.cc
+++ b/libs/core/tests/directory_test.cc
@@ -20,9 +20,7 @@
 /** One reducer that is told of its first endpoint by probes and by the platform's list. */
 class Directory {
  public:
-  Directory() {
-    Post(Event::ListsReceived{m_now, 1, std::make_shared<const Lists>(MakeWorldLists())});
-  }
+  Directory() { Post(Event::ListsReceived{m_now, 1, std::make_shared<const Lists>(MakeWorldLists())}); }
 
   void Probe(uint64_t incarnation) {
     Event::ProbeEnded event;
