Start every gossip message in one place

Found on a last reading: a reply filled sender, generation and age of the store's proof with the lines of an ordinary message, and MakeMessage took a count that was always the same.

--- a/libs/core/src/gossip.cc
+++ b/libs/core/src/gossip.cc
@@ -100,12 +100,18 @@
   }
 }
 
-std::shared_ptr<GossipMessage> MakeMessage(Parts& parts, size_t rumors, TimePoint now) {
+/** A message that says only who sends it and which lists it holds. */
+std::shared_ptr<GossipMessage> StartMessage(const Parts& parts, TimePoint now) {
   auto message = std::make_shared<GossipMessage>();
   message->sender = parts.self;
   message->generation = parts.lists.generation;
   message->store_age = duration_cast<milliseconds>(now - parts.lists.store_confirmed_at);
-  parts.rumors.Pick(rumors, now, parts.random, message->rumors);
+  return message;
+}
+
+std::shared_ptr<GossipMessage> MakeMessage(Parts& parts, TimePoint now) {
+  std::shared_ptr<GossipMessage> message = StartMessage(parts, now);
+  parts.rumors.Pick(kRumorsPerMessage, now, parts.random, message->rumors);
   AddMembers(parts, true, now, *message);
   AddMembers(parts, false, now, *message);
   AddHeartbeats(parts, now, *message);
@@ -115,10 +121,7 @@
 
 /** Answers a peer that asked for all that is known here. */
 void Reply(Parts& parts, const GossipMessage& question, TimePoint now, Effects& effects) {
-  auto message = std::make_shared<GossipMessage>();
-  message->sender = parts.self;
-  message->generation = parts.lists.generation;
-  message->store_age = duration_cast<milliseconds>(now - parts.lists.store_confirmed_at);
+  std::shared_ptr<GossipMessage> message = StartMessage(parts, now);
   message->reply_to = question.ask;
   parts.rumors.Peek(kRumorsPerReply, now, message->rumors);
   effects.push_back(Effect::SendGossip{question.sender.peer_address, std::move(message)});
@@ -213,7 +216,7 @@
   ++parts.self.heartbeat;
   parts.self.epoch = parts.EpochAt(now);
   parts.members.Heard(parts.self, now);
-  std::shared_ptr<const GossipMessage> message = MakeMessage(parts, kRumorsPerMessage, now);
+  std::shared_ptr<const GossipMessage> message = MakeMessage(parts, now);
   for (size_t i = 0; i < kFanout; ++i) {
     std::string address = RandomPeerAddress(parts, now);
     if (!address.empty())
@@ -223,7 +226,7 @@
 
 void AskPeers(Parts& parts, TimePoint now, Effects& effects) {
   parts.lists.asked = parts.random();
-  auto message = MakeMessage(parts, kRumorsPerMessage, now);
+  auto message = MakeMessage(parts, now);
   message->ask = parts.lists.asked;
   for (size_t i = 0; i < kPeersAsked; ++i) {
     std::string address = RandomPeerAddress(parts, now);
