--- a/daemons/sassafrasd/main.cc
+++ b/daemons/sassafrasd/main.cc
@@ -14,6 +14,9 @@
 #include "base/log.h"
 #include "base/system_clock.h"
 #include "entry/entry_instance.h"
+#include "platform/entry_pages.h"
+#include "platform/kv_fleet_store.h"
+#include "platform/wire_dialect.h"
 #include "settings/settings.h"
 
 namespace {
@@ -55,12 +58,23 @@
   return -1;
 }
 
+/** The platform that the settings name. */
+sassafras::Surroundings MakeSurroundings(const sassafras::Settings& settings) {
+  sassafras::Surroundings surroundings;
+  if (settings.store != sassafras::StoreKind::kPlatform)
+    return surroundings;
+  surroundings.dialect = std::make_shared<sassafras::platform::WireDialect>();
+  surroundings.pages = std::make_shared<sassafras::platform::EntryPages>(settings.address_ttl);
+  surroundings.store = std::make_shared<sassafras::platform::KvFleetStore>(settings.platform.front());
+  return surroundings;
+}
+
 int Run(const sassafras::Settings& settings) {
   // A peer that closes its connection must not end the process.
   std::signal(SIGPIPE, SIG_IGN);
   boost::asio::io_context context(1);
   const sassafras::SystemClock clock;
-  sassafras::EntryInstance instance(context, settings, clock);
+  sassafras::EntryInstance instance(context, settings, clock, MakeSurroundings(settings));
   if (const absl::Status status = instance.Start(); !status.ok()) {
     fmt::print(stderr, "sassafrasd: {}\n", sassafras::MessageOf(status));
     return kExitSockets;
--- a/libs/core/include/core/effect.h
+++ b/libs/core/include/core/effect.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chrono>
 #include <cstdint>
 #include <memory>
 #include <string>
@@ -40,6 +41,8 @@
     Reason reason = Reason::kNoPlan;
     /** Address of the owner for Reason::kRedirectToOwner. */
     std::string owner_address;
+    /** When to come back; zero if nothing is known. */
+    std::chrono::milliseconds retry_after{};
   };
   /** Give the caller a recorded answer; the call has ended. */
   struct AnswerRecorded {
@@ -50,6 +53,18 @@
   struct SendProbe {
     EndpointHandle endpoint;
     TimePoint not_after;
+    /** The call that waits for the answer; default if none does. */
+    CallHandle call;
+  };
+  /** Report AskDue for the call at `at`. */
+  struct ArmAsk {
+    uint64_t ticket = 0;
+    TimePoint at;
+  };
+  /** Read from the platform's store which endpoints there are. */
+  struct ReadEndpoints {
+    /** All of them, or only what changed since the last read. */
+    bool whole = false;
   };
   struct SendGossip {
     std::string peer_address;
@@ -58,6 +73,8 @@
   /** Ask a peer for lists above our generation. */
   struct FetchLists {
     std::string peer_address;
+    /** Generation that the peer holds; 0 if unknown. */
+    uint64_t generation = 0;
   };
   /** Read the lists and the list of instances from the platform once. */
   struct PollStore {};
@@ -85,6 +102,8 @@
                            Reject,
                            AnswerRecorded,
                            SendProbe,
+                           ArmAsk,
+                           ReadEndpoints,
                            SendGossip,
                            FetchLists,
                            PollStore,
--- a/libs/core/include/core/event.h
+++ b/libs/core/include/core/event.h
@@ -10,6 +10,7 @@
 #include "base/clock.h"
 #include "base/handle.h"
 #include "core/call_handle.h"
+#include "core/endpoint_change.h"
 #include "core/gossip_message.h"
 #include "core/idempotency.h"
 #include "core/load_report.h"
@@ -68,6 +69,20 @@
     std::vector<Member> members;
     std::vector<EndpointMark> endpoints;
   };
+  /** Endpoints as the platform's store lists them: all of them, or those that changed. */
+  struct EndpointsReceived {
+    TimePoint now;
+    /** Revision of the store up to which this speaks. */
+    uint64_t as_of = 0;
+    /** Whether endpoints that are not here are gone. */
+    bool whole = false;
+    std::vector<EndpointChange> changes;
+  };
+  /** A read of the store ended; `ok` tells whether it answered. */
+  struct StoreRead {
+    TimePoint now;
+    bool ok = false;
+  };
   struct GossipReceived {
     TimePoint now;
     GossipMessage message;
@@ -95,6 +110,11 @@
     TimePoint now;
     CallHandle call;
   };
+  /** The time is up in which endpoints may answer before one of them is chosen. */
+  struct AskDue {
+    TimePoint now;
+    CallHandle call;
+  };
   struct AttemptEnded {
     TimePoint now;
     CallHandle call;
@@ -102,6 +122,8 @@
     AttemptResult result = AttemptResult::kAnswered;
     /** Whether the answer counts as a failure of the service (status 5xx). */
     bool failure_status = false;
+    /** Whether another endpoint has the address now. */
+    bool wrong_endpoint = false;
     LoadReport load;
     /** The answer of a call with an idempotency key; null if too large to keep. */
     std::shared_ptr<const RecordedAnswer> answer;
@@ -111,6 +133,8 @@
     EndpointHandle endpoint;
     bool answered = false;
     LoadReport load;
+    /** The call on whose behalf the endpoint was asked; stale if none did. */
+    CallHandle call;
   };
   /** The platform granted or renewed a probe seat. */
   struct SeatGranted {
@@ -123,7 +147,7 @@
     TimePoint now;
     uint32_t seat = 0;
   };
-  /** Time passed; sent every kTickPeriod. */
+  /** Time passed; sent when State::NextTick() is reached. */
   struct Tick {
     TimePoint now;
   };
@@ -134,10 +158,13 @@
   using Any = std::variant<ListsReceived,
                            StoreConfirmed,
                            DirectoryReceived,
+                           EndpointsReceived,
+                           StoreRead,
                            GossipReceived,
                            CallArrived,
                            CallerGone,
                            HedgeDue,
+                           AskDue,
                            AttemptEnded,
                            ProbeEnded,
                            SeatGranted,
@@ -146,7 +173,7 @@
                            StopRequested>;
 };
 
-/** Period of Event::Tick. */
+/** Longest time between ticks while calls wait for an endpoint. */
 constexpr std::chrono::milliseconds kTickPeriod{5};
 
 }  // namespace sassafras
--- a/libs/core/include/core/gossip_message.h
+++ b/libs/core/include/core/gossip_message.h
@@ -5,6 +5,7 @@
 #include <string>
 #include <vector>
 
+#include "core/endpoint_change.h"
 #include "core/member.h"
 
 namespace sassafras {
@@ -43,6 +44,13 @@
   /** Not 0: the receiver shall answer at once with all it knows, repeating the number in `reply_to`. */
   uint64_t ask = 0;
   uint64_t reply_to = 0;
+  /** Hash over the endpoints that the sender knows of, and the store's revision it knows them up to. */
+  uint64_t endpoints_digest = 0;
+  uint64_t endpoints_as_of = 0;
+  /** Age of the newest proof, seen by anyone, of what endpoints the store lists. */
+  std::chrono::milliseconds endpoints_age{};
+  /** Endpoints that changed a moment ago. */
+  std::vector<EndpointChange> endpoint_changes;
   std::vector<Rumor> rumors;
   std::vector<EndpointLoad> loads;
   /** A few other members, so that joins spread. */
--- a/libs/core/include/core/member.h
+++ b/libs/core/include/core/member.h
@@ -20,6 +20,8 @@
   /** Epoch of its idempotency tokens. */
   uint32_t epoch = 0;
   bool leaving = false;
+  /** Whether its latest read of the platform's store succeeded. */
+  bool store_reachable = true;
 };
 
 }  // namespace sassafras
--- a/libs/core/include/core/state.h
+++ b/libs/core/include/core/state.h
@@ -12,6 +12,7 @@
 
 namespace sassafras {
 
+struct CallerLimits;
 struct Endpoint;
 struct Parts;
 struct Plan;
@@ -32,12 +33,16 @@
   Phase CurrentPhase() const;
   /** Generation of the lists in force; 0 before the first. */
   uint64_t Generation() const;
+  /** When Event::Tick is due next. */
+  TimePoint NextTick(TimePoint now) const;
+  /** Revision of the platform's store up to which the endpoints are known; 0 before the first reading. */
+  uint64_t EndpointsAsOf() const;
   /** Number of calls waiting or running. */
   size_t CallsInProgress() const;
   size_t CallsWaiting() const;
 
-  /** Finds the plan with the longest matching path prefix; invalid if none matches. O(plans of that method). */
-  PlanHandle FindPlan(std::string_view method, std::string_view path) const;
+  /** Finds the plan of that host with the longest matching path prefix; invalid if none matches. */
+  PlanHandle FindPlan(std::string_view host, std::string_view method, std::string_view path) const;
   /** The plan's row; valid until the next ListsReceived. */
   const Plan& PlanRow(PlanHandle plan) const;
   /** The endpoint's row; valid until the next ListsReceived. */
@@ -53,9 +58,13 @@
 
   /** Members that callers may be sent to, this instance included unless it leaves. */
   std::vector<Member> ServingMembers() const;
+  /** Members that a caller in `failure_domain` should use: those of that domain if they are enough. */
+  std::vector<Member> MembersFor(std::string_view failure_domain) const;
   /** This instance as peers see it. */
   const Member& Self() const;
 
+  /** What callers may send. */
+  const CallerLimits& Limits() const;
   size_t PlanCount() const;
   /** Counters of a plan since the start of the process. */
   const PlanCounters& Totals(PlanHandle plan) const;
--- a/libs/core/include/core/state_options.h
+++ b/libs/core/include/core/state_options.h
@@ -30,6 +30,18 @@
   /** How long callers keep an address answer. */
   std::chrono::milliseconds address_ttl{5'000};
   std::chrono::milliseconds stop_limit{60'000};
+  /** Longest time that a leaving instance still takes calls. */
+  std::chrono::milliseconds linger_limit = std::chrono::hours(1);
+  /** Extra attempts that the fleet may make for each call of a service, and beyond that in one window. */
+  double retry_ratio = 0.2;
+  double retry_slack = 480.0;
+  /** Whether endpoints come from Event::EndpointsReceived, not from the lists. */
+  bool discovery = false;
+  /** Whether a few endpoints are asked for their load before each attempt. */
+  bool ask_first = false;
+  std::chrono::milliseconds gossip_period{250};
+  /** Peers told in one round. */
+  uint32_t gossip_fanout = 2;
   bool probing = true;
   bool hedging = true;
   /** Whether calls wait here while all endpoints seem full; if not they are sent on at once. */
--- /dev/null
+++ b/libs/core/src/asking.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include "base/clock.h"
+#include "core/call_handle.h"
+#include "core/effect.h"
+#include "core/event.h"
+
+namespace sassafras {
+
+struct Parts;
+
+/**
+ * Asks a few endpoints for their load, so that the call goes to one that is fast at this moment: an endpoint's
+ * speed changes faster than reports of it age.
+ *
+ * Endpoints of this instance's failure domain are asked first, others only if those are slow or full.
+ * @return false if no endpoint may take the call
+ */
+bool StartAsking(Parts& parts, CallHandle handle, TimePoint now, Effects& effects);
+
+/** Takes in the answer of an asked endpoint; sends the call on once it is known where to. */
+void OnAskAnswered(Parts& parts, const Event::ProbeEnded& event, Effects& effects);
+
+/** Sends the call on by the answers that have come. */
+void OnAskDue(Parts& parts, const Event::AskDue& event, Effects& effects);
+
+}  // namespace sassafras
--- a/libs/core/src/attempts.cc
+++ b/libs/core/src/attempts.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <chrono>
 
+#include "asking.h"
 #include "call_end.h"
 #include "dispatch.h"
 #include "endpoint_news.h"
@@ -14,14 +15,9 @@
 
 using Stage = CallState::Stage;
 
-/** Part of a retry token that a new attempt after an explicit refusal costs. */
-constexpr double kRefusalCost = 0.25;
-constexpr double kRetryCost = 1.0;
-/** Consecutive failures from which an endpoint is ejected. */
-constexpr uint16_t kEjectAfter = 3;
-constexpr std::chrono::milliseconds kFirstEjection{500};
-constexpr uint8_t kMaxEjectionShift = 6;
-
+constexpr double kAttemptCost = 1.0;
+/** How long an endpoint is left alone whose address another one has. */
+constexpr std::chrono::seconds kReplacedPause{5};
 /** Reason to tell the caller when no attempt is left. */
 Reason FinalReason(AttemptResult result, bool may_have_run, bool in_time) {
   if (result == AttemptResult::kTimedOut)
@@ -41,16 +37,20 @@
 
 /** Whether another attempt may follow one that ended like this. */
 bool MayRetry(Parts& parts, const CallState& call, AttemptResult result, TimePoint now) {
-  PlanState& plan = parts.At(call.plan);
+  const PlanState& plan = parts.At(call.plan);
   const bool repeatable = plan.row.repeat == Repeat::kSafe || !call.may_have_run;
   const bool retryable = IsNotRun(result) || result == AttemptResult::kBroken;
   if (!repeatable || !retryable || !call.replayable)
     return false;
-  if (call.attempts >= CallState::kMaxAttempts || now >= call.deadline)
+  if (call.attempts >= MaxAttempts(plan.row) || now >= call.deadline)
     return false;
   if (parts.quarantine.IsQuarantined(call.fingerprint, now))
     return false;
-  return plan.retry_budget.Spend(result == AttemptResult::kRefused ? kRefusalCost : kRetryCost);
+  // An attempt of which no byte left is none that an endpoint saw.
+  if (result == AttemptResult::kNotSent || result == AttemptResult::kWithdrawn)
+    return true;
+  ServiceState& service = parts.At(parts.BranchOf(call).service);
+  return service.retry_budget.Spend(kAttemptCost) || service.hedge_budget.Spend(kAttemptCost);
 }
 
 /** Moves the estimate up by 19 steps for each answer above it and down by one for each below. */
@@ -70,31 +70,14 @@
     return;
   const TimePoint dispatched = call.dispatched[static_cast<size_t>(attempt - call.tried.begin())];
   const float micros = std::chrono::duration<float, std::micro>(now - dispatched).count();
+  // What the endpoint itself said of its speed at that moment is taken out: it changes many times a second.
+  const float usual = micros / call.slowdowns[static_cast<size_t>(attempt - call.tried.begin())];
   PlanState& plan = parts.At(call.plan);
-  UpdateAverage(parts.At(endpoint).latency_us, micros);
-  UpdateAverage(parts.At(plan.service).LatencyFor(plan.row.work), micros);
+  UpdateAverage(parts.At(endpoint).latency_us, usual);
+  UpdateAverage(parts.At(parts.BranchOf(call).service).LatencyFor(plan.row.work), usual);
   UpdateP95(plan.p95_us, micros);
 }
 
-size_t CountEjected(const Parts& parts, const ServiceState& service, TimePoint now) {
-  return static_cast<size_t>(
-      std::count_if(service.endpoints.begin(), service.endpoints.end(),
-                    [&](EndpointHandle endpoint) { return parts.endpoints[endpoint].ejected_until > now; }));
-}
-
-/** Keeps an endpoint that fails again and again out of use for a while, but never half of a service. */
-void NoteFailure(Parts& parts, EndpointHandle endpoint, TimePoint now) {
-  EndpointState& state = parts.At(endpoint);
-  ++state.consecutive_failures;
-  if (state.consecutive_failures < kEjectAfter || state.ejected_until > now || !state.service.IsValid())
-    return;
-  const ServiceState& service = parts.At(state.service);
-  if (2 * (CountEjected(parts, service, now) + 1) > service.endpoints.size())
-    return;
-  state.ejected_until = now + kFirstEjection * (1 << std::min(state.ejections, kMaxEjectionShift));
-  ++state.ejections;
-}
-
 /** A refusal without a report says that all slots are taken. */
 void NoteFull(EndpointState& state, TimePoint now) {
   state.reported = std::max(state.reported, state.slots);
@@ -102,6 +85,11 @@
   state.reported_at = now;
 }
 
+/** Another endpoint has the address: nothing goes there until the platform says more. */
+void NoteReplaced(EndpointState& state, TimePoint now) {
+  state.ejected_until = now + kReplacedPause;
+}
+
 void NoteSuccess(EndpointState& state) {
   state.consecutive_failures = 0;
   state.ejections = 0;
@@ -128,6 +116,7 @@
     case AttemptResult::kAnswered:
       state.progress_at = event.now;
       NoteSuccess(state);
+      UpdateShare(state.failure_rate, event.failure_status);
       if (call != nullptr) {
         LearnLatency(parts, *call, event.endpoint, event.now);
         parts.quarantine.Answered(call->fingerprint, event.now);
@@ -135,7 +124,9 @@
       break;
     case AttemptResult::kRefused:
       state.progress_at = event.now;
-      if (!event.load.present)
+      if (event.wrong_endpoint)
+        NoteReplaced(state, event.now);
+      else if (!event.load.present)
         NoteFull(state, event.now);
       break;
     case AttemptResult::kBroken:
@@ -185,13 +176,14 @@
   PlanState& plan = parts.At(call->plan);
   if (!MayHedge(parts, *call, plan) || parts.quarantine.IsSuspect(call->fingerprint))
     return;
+  if (parts.options.ask_first) {
+    call->asking_for_hedge = StartAsking(parts, event.call, event.now, effects);
+    return;
+  }
   Selector selector(parts, plan, *call, event.now);
   const EndpointHandle endpoint = selector.Choose(parts.options.selection);
-  if (!endpoint.IsValid() || !plan.hedge_budget.Spend(1.0))
-    return;
-  call->hedged = true;
-  ++plan.totals.hedges;
-  Dispatch(parts, event.call, endpoint, event.now, effects);
+  if (endpoint.IsValid())
+    Hedge(parts, event.call, endpoint, event.now, effects);
 }
 
 void OnAttemptEnded(Parts& parts, const Event::AttemptEnded& event, Effects& effects) {
--- a/libs/core/src/call_state.h
+++ b/libs/core/src/call_state.h
@@ -11,9 +11,11 @@
 
 /** One accepted call. */
 struct CallState {
-  enum class Stage : uint8_t { kFree, kWaiting, kRunning, kWaitingForRecord };
+  enum class Stage : uint8_t { kFree, kWaiting, kAsking, kRunning, kWaitingForRecord };
   /** Endpoints remembered as tried; more attempts than that are never made. */
   static constexpr size_t kMaxAttempts = 4;
+  /** Endpoints asked for their load before one attempt. */
+  static constexpr size_t kMaxAsked = 6;
   static constexpr uint32_t kNoRecord = UINT32_MAX;
 
   uint32_t version = 0;
@@ -21,6 +23,12 @@
   uint8_t attempts = 0;
   /** Attempts whose end was not reported yet. */
   uint8_t outstanding = 0;
+  /** Position in the plan's branches. */
+  uint8_t branch = 0;
+  uint8_t asked_count = 0;
+  uint8_t answers_due = 0;
+  /** Whether endpoints are being asked for an attempt beside one that runs. */
+  bool asking_for_hedge = false;
   bool replayable = true;
   bool hedged = false;
   /** Whether an attempt ended without telling whether the request ran. */
@@ -33,6 +41,13 @@
   /** Endpoints of the attempts so far and when each attempt was made. */
   std::array<EndpointHandle, kMaxAttempts> tried;
   std::array<TimePoint, kMaxAttempts> dispatched;
+  /** Slowdown that the endpoint of each attempt had reported. */
+  std::array<float, kMaxAttempts> slowdowns{};
+  /** Endpoints asked for the next attempt, and the estimated time of an attempt there; infinite without an answer. */
+  std::array<EndpointHandle, kMaxAsked> asked;
+  std::array<float, kMaxAsked> estimates_us{};
+  TimePoint asked_at{};
+  TimePoint decide_at{};
   /** Idempotency record that this call runs for or waits for. */
   uint32_t record = kNoRecord;
   /** Next call that waits for the same record. */
--- a/libs/core/src/calls.cc
+++ b/libs/core/src/calls.cc
@@ -42,8 +42,9 @@
 
 /** Sends the call on, or lets it wait behind calls that wait already. */
 void StartOrEnqueue(Parts& parts, CallHandle handle, TimePoint now, Effects& effects) {
-  const PlanState& plan = parts.At(parts.calls.Find(handle)->plan);
-  const bool others_wait = !parts.At(plan.service).QueueFor(plan.row.work).Empty();
+  const CallState& call = *parts.calls.Find(handle);
+  const ServiceHandle service = parts.BranchOf(call).service;
+  const bool others_wait = !parts.At(service).QueueFor(parts.At(call.plan).row.work).Empty();
   if (others_wait || !TryDispatch(parts, handle, now, effects))
     Enqueue(parts, handle, now, effects);
 }
@@ -114,6 +115,29 @@
   return position;
 }
 
+/** Divides requests by weight: the branch that is owed most comes next. */
+uint8_t ChooseBranch(PlanState& plan) {
+  double total = 0;
+  size_t best = 0;
+  for (size_t i = 0; i < plan.branches.size(); ++i) {
+    PlanBranch& branch = plan.branches[i];
+    branch.credit += branch.weight;
+    total += branch.weight;
+    if (branch.credit > plan.branches[best].credit)
+      best = i;
+  }
+  plan.branches[best].credit -= total;
+  return static_cast<uint8_t>(best);
+}
+
+/** A call counts for each service that it is allowed to go to. */
+void EarnBudgets(Parts& parts, const PlanState& plan) {
+  for (const PlanBranch& branch : plan.branches) {
+    parts.At(branch.service).retry_budget.Earn();
+    parts.At(branch.service).hedge_budget.Earn();
+  }
+}
+
 }  // namespace
 
 void OnCallArrived(Parts& parts, const Event::CallArrived& event, Effects& effects) {
@@ -130,7 +154,8 @@
     RejectCounted(parts, event, Reason::kQuarantined, effects);
     return;
   }
-  if (plan.candidates.empty()) {
+  const uint8_t branch = ChooseBranch(plan);
+  if (plan.branches[branch].candidates.empty()) {
     RejectCounted(parts, event, Reason::kNoEndpoint, effects);
     return;
   }
@@ -140,10 +165,10 @@
     if (record == IdempotencyTable::kNone)
       return;
   }
-  plan.retry_budget.Earn();
-  plan.hedge_budget.Earn();
+  EarnBudgets(parts, plan);
   const CallHandle handle = Accept(parts, event, effects);
   parts.calls.Find(handle)->record = record;
+  parts.calls.Find(handle)->branch = branch;
   StartOrEnqueue(parts, handle, event.now, effects);
 }
 
--- a/libs/core/src/control.cc
+++ b/libs/core/src/control.cc
@@ -3,7 +3,9 @@
 #include <algorithm>
 #include <chrono>
 
+#include "asking.h"
 #include "base/hash.h"
+#include "discovery.h"
 #include "dispatch.h"
 #include "endpoint_news.h"
 #include "gossip.h"
@@ -17,7 +19,6 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-constexpr milliseconds kGossipPeriod{250};
 constexpr milliseconds kProbeCheckPeriod{20};
 constexpr seconds kRolePeriod{1};
 /** Silence between ticks from which this process counts as having been paused. */
@@ -44,7 +45,7 @@
 
 void RefreshWatch(Parts& parts, TimePoint now, Effects& effects) {
   const bool serving = parts.phase != Phase::kClosing;
-  const bool watch = serving && parts.members.RankFor(kWatchPurpose, parts.self_hash, now) < kWatchers;
+  const bool watch = serving && parts.members.RankForReaching(kWatchPurpose, parts.self_hash, now) < kWatchers;
   if (watch == parts.lists.watching)
     return;
   parts.lists.watching = watch;
@@ -60,7 +61,9 @@
 void RefreshPoll(Parts& parts, TimePoint now, Effects& effects) {
   const ListsTracker& lists = parts.lists;
   const bool starting = parts.phase == Phase::kStarting;
-  if (starting || (lists.watching && now - lists.last_poll >= kWatcherPollPeriod)) {
+  // With discovery the watch itself proves from time to time that nothing has changed.
+  const bool polls = lists.watching && !parts.options.discovery && now - lists.last_poll >= kWatcherPollPeriod;
+  if (starting || polls) {
     Poll(parts, now, effects);
     return;
   }
@@ -118,6 +121,8 @@
   parts.lists.revalidate_until = now + kRevalidateLimit;
   Poll(parts, now, effects);
   AskPeers(parts, now, effects);
+  if (parts.options.discovery)
+    effects.push_back(Effect::ReadEndpoints{false});
 }
 
 void RefreshRoles(Parts& parts, TimePoint now, Effects& effects) {
@@ -155,11 +160,18 @@
     return;
   parts.lists.generation = event.generation;
   ApplyLists(parts, *event.lists, event.now);
-  if (parts.phase == Phase::kStarting)
-    parts.phase = Phase::kServing;
+  if (!parts.options.discovery || parts.feed.as_of > 0)
+    BecomeReady(parts);
   for (ServiceState& service : parts.services)
     PumpQueues(parts, service, event.now, effects);
   parts.gossip_now = true;
+  if (parts.options.discovery && parts.lists.watching)
+    SendToAllPeers(parts, {}, event.now, effects);
+}
+
+void BecomeReady(Parts& parts) {
+  if (parts.phase == Phase::kStarting)
+    parts.phase = Phase::kServing;
 }
 
 void OnStoreConfirmed(Parts& parts, const Event::StoreConfirmed& event, Effects& effects) {
@@ -208,9 +220,10 @@
     ApplyMark(parts, mark, event.now);
 }
 
-void OnProbeEnded(Parts& parts, const Event::ProbeEnded& event, Effects& /*effects*/) {
+void OnProbeEnded(Parts& parts, const Event::ProbeEnded& event, Effects& effects) {
   if (event.answered)
     LearnFromReport(parts, event.endpoint, event.load, event.now);
+  OnAskAnswered(parts, event, effects);
 }
 
 void OnSeatGranted(Parts& parts, const Event::SeatGranted& event, Effects& effects) {
@@ -243,18 +256,30 @@
   }
   if (parts.gossip_now || now >= parts.next_gossip) {
     parts.gossip_now = false;
-    parts.next_gossip = now + kGossipPeriod;
+    parts.next_gossip = now + parts.options.gossip_period;
     SendGossipRound(parts, now, effects);
   }
   if (now >= parts.next_probe_check) {
     parts.next_probe_check = now + kProbeCheckPeriod;
     SendDueProbes(parts, now, effects);
   }
+  RefreshDiscovery(parts, now, effects);
   if (now >= parts.next_role_check)
     RefreshRoles(parts, now, effects);
   CloseIfDue(parts, now, effects);
 }
 
+TimePoint NextTickOf(const Parts& parts, TimePoint now) {
+  if (parts.gossip_now || CountWaiting(parts) > 0)
+    return now + kTickPeriod;
+  TimePoint next = std::min({parts.next_gossip, parts.next_role_check, NextDiscovery(parts)});
+  if (parts.probes.HoldsAny(now))
+    next = std::min(next, parts.next_probe_check);
+  if (parts.phase == Phase::kLeaving)
+    next = std::min(next, parts.close_at);
+  return std::max(next, now);
+}
+
 void OnStopRequested(Parts& parts, const Event::StopRequested& event, Effects& effects) {
   if (parts.phase == Phase::kLeaving || parts.phase == Phase::kClosing)
     return;
@@ -262,7 +287,8 @@
   parts.phase = Phase::kLeaving;
   parts.self.leaving = true;
   // Callers may use an address answer that a peer gave before it heard of the stop.
-  parts.close_at = served ? event.now + kLeaveSpread + parts.options.address_ttl : event.now;
+  const Duration linger = std::min<Duration>(kLeaveSpread + parts.options.address_ttl, parts.options.linger_limit);
+  parts.close_at = served ? event.now + linger : event.now;
   ReleaseSeats(parts, event.now, effects);
   SendGossipRound(parts, event.now, effects);
 }
--- a/libs/core/src/control.h
+++ b/libs/core/src/control.h
@@ -18,7 +18,11 @@
 void OnProbeEnded(Parts& parts, const Event::ProbeEnded& event, Effects& effects);
 void OnSeatGranted(Parts& parts, const Event::SeatGranted& event, Effects& effects);
 void OnSeatRefused(Parts& parts, const Event::SeatRefused& event, Effects& effects);
+void BecomeReady(Parts& parts);
 void OnTick(Parts& parts, const Event::Tick& event, Effects& effects);
 void OnStopRequested(Parts& parts, const Event::StopRequested& event, Effects& effects);
 
+/** When Event::Tick is due next. */
+TimePoint NextTickOf(const Parts& parts, TimePoint now);
+
 }  // namespace sassafras
--- /dev/null
+++ b/libs/core/src/discovery.cc
@@ -0,0 +1,162 @@
+#include "discovery.h"
+
+#include <algorithm>
+#include <chrono>
+#include <memory>
+#include <random>
+
+#include "control.h"
+#include "core/gossip_message.h"
+#include "gossip.h"
+#include "lists_apply.h"
+#include "parts.h"
+
+namespace sassafras {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/** Time for entries that lapsed while the store was away to come back. */
+constexpr milliseconds kLapseGrace{2'000};
+/** Instances that read the store's changes for all. */
+constexpr size_t kReaders = 2;
+constexpr uint64_t kReaderPurpose = 0x72656164;
+constexpr milliseconds kReadPeriod{900};
+/** Age of the newest proof from which instances that are no readers read too. */
+constexpr milliseconds kProofStale{2'500};
+/** How long peers may hold other endpoints before an instance reads the store itself. */
+constexpr milliseconds kDiffersLimit{1'000};
+/** Bounds of the pause between reads of a store that does not answer. */
+constexpr milliseconds kFirstPause{200};
+constexpr milliseconds kMaxPause{1'600};
+/** Changes in one datagram. */
+constexpr size_t kChangesPerMessage = 6;
+
+/** How long an endpoint stays in use that the store no longer lists. */
+Duration GoneDelay(const Parts& parts, TimePoint now) {
+  const EndpointFeed& feed = parts.feed;
+  const bool away = feed.store_back_at != TimePoint() && now - feed.store_back_at < kLapseGrace;
+  return away ? feed.store_back_at + kLapseGrace - now : Duration::zero();
+}
+
+/** Passes changes on to every peer at once: a change is rare, and late word of it costs requests. */
+void Broadcast(Parts& parts, const std::vector<EndpointChange>& news, TimePoint now, Effects& effects) {
+  for (size_t start = 0; start < news.size(); start += kChangesPerMessage) {
+    const auto first = news.begin() + static_cast<std::ptrdiff_t>(start);
+    const auto last = news.begin() + static_cast<std::ptrdiff_t>(std::min(news.size(), start + kChangesPerMessage));
+    SendToAllPeers(parts, std::vector<EndpointChange>(first, last), now, effects);
+  }
+}
+
+Duration PauseAfterFailures(uint32_t failures) {
+  constexpr uint32_t kMaxShift = 3;
+  return std::min<Duration>(kMaxPause, kFirstPause * (1u << std::min(failures, kMaxShift)));
+}
+
+bool IsReader(Parts& parts, TimePoint now) {
+  return parts.members.RankForReaching(kReaderPurpose, parts.self_hash, now) < kReaders;
+}
+
+/** Whether this instance should read the store now; `whole` tells how. */
+bool IsReadDue(Parts& parts, TimePoint now, bool& whole) {
+  EndpointFeed& feed = parts.feed;
+  whole = feed.as_of == 0;
+  const Duration since = now - feed.last_read;
+  if (feed.failures > 0 && since < PauseAfterFailures(feed.failures))
+    return false;
+  if (whole)
+    return since >= kFirstPause;
+  if (feed.differs_since != TimePoint() && now - feed.differs_since >= kDiffersLimit && since >= kDiffersLimit) {
+    whole = true;
+    return true;
+  }
+  if (since < kReadPeriod)
+    return false;
+  if (IsReader(parts, now))
+    return true;
+  if (now - feed.confirmed_at < kProofStale)
+    return false;
+  // Nobody has news: a few at random try, not all at once.
+  const auto fleet = static_cast<double>(std::max<size_t>(1, parts.members.CountServing(now)));
+  return std::uniform_real_distribution<double>(0.0, 1.0)(parts.random) < static_cast<double>(kReaders) / fleet;
+}
+
+}  // namespace
+
+void OnEndpointsReceived(Parts& parts, const Event::EndpointsReceived& event, Effects& effects) {
+  EndpointFeed& feed = parts.feed;
+  std::vector<EndpointChange> news;
+  const Duration gone_delay = GoneDelay(parts, event.now);
+  for (const EndpointChange& change : event.changes) {
+    if (feed.Apply(change, gone_delay, event.now))
+      news.push_back(change);
+  }
+  if (event.whole)
+    feed.RemoveOthers(event.changes, event.as_of, gone_delay, event.now, news);
+  const bool first = feed.as_of == 0;
+  feed.as_of = std::max(feed.as_of, event.as_of);
+  feed.confirmed_at = event.now;
+  if (event.whole)
+    feed.differs_since = {};
+  if (first && parts.lists.generation > 0)
+    BecomeReady(parts);
+  if (news.empty())
+    return;
+  ApplyDiscovered(parts, event.now);
+  if (!first)
+    Broadcast(parts, news, event.now, effects);
+}
+
+void OnStoreRead(Parts& parts, const Event::StoreRead& event, Effects& /*effects*/) {
+  EndpointFeed& feed = parts.feed;
+  parts.self.store_reachable = event.ok;
+  if (!event.ok) {
+    ++feed.failures;
+    feed.store_failing = true;
+    return;
+  }
+  if (feed.store_failing)
+    feed.store_back_at = event.now;
+  feed.store_failing = false;
+  feed.failures = 0;
+}
+
+void LearnEndpointsFromPeer(Parts& parts, const GossipMessage& message, TimePoint now) {
+  if (!parts.options.discovery)
+    return;
+  EndpointFeed& feed = parts.feed;
+  bool changed = false;
+  for (const EndpointChange& change : message.endpoint_changes)
+    changed = feed.Apply(change, GoneDelay(parts, now), now) || changed;
+  if (changed)
+    ApplyDiscovered(parts, now);
+  if (message.endpoints_as_of == 0)
+    return;
+  if (message.endpoints_digest == feed.Digest()) {
+    feed.differs_since = {};
+    feed.confirmed_at = std::max(feed.confirmed_at, now - message.endpoints_age);
+    return;
+  }
+  const bool peer_is_newer = now - message.endpoints_age > feed.confirmed_at;
+  if (peer_is_newer && feed.differs_since == TimePoint())
+    feed.differs_since = now;
+}
+
+void RefreshDiscovery(Parts& parts, TimePoint now, Effects& effects) {
+  if (!parts.options.discovery)
+    return;
+  if (parts.feed.ExpireGone(now))
+    ApplyDiscovered(parts, now);
+  bool whole = false;
+  if (parts.phase == Phase::kClosing || !IsReadDue(parts, now, whole))
+    return;
+  parts.feed.last_read = now;
+  effects.push_back(Effect::ReadEndpoints{whole});
+}
+
+TimePoint NextDiscovery(const Parts& parts) {
+  return parts.options.discovery ? parts.feed.NextExpiry() : TimePoint::max();
+}
+
+}  // namespace sassafras
--- a/libs/core/src/dispatch.cc
+++ b/libs/core/src/dispatch.cc
@@ -4,6 +4,7 @@
 #include <array>
 #include <chrono>
 
+#include "asking.h"
 #include "call_end.h"
 #include "parts.h"
 #include "selection.h"
@@ -52,9 +53,13 @@
 
 }  // namespace
 
+size_t MaxAttempts(const Plan& plan) {
+  return std::min<size_t>(CallState::kMaxAttempts, plan.max_attempts);
+}
+
 bool MayHedge(const Parts& parts, const CallState& call, const PlanState& plan) {
   return parts.options.hedging && plan.row.repeat == Repeat::kSafe && call.replayable && !call.hedged &&
-         plan.p95_us > 0 && call.attempts < CallState::kMaxAttempts;
+         plan.p95_us > 0 && call.attempts < MaxAttempts(plan.row);
 }
 
 void Dispatch(Parts& parts, CallHandle handle, EndpointHandle endpoint, TimePoint now, Effects& effects) {
@@ -66,6 +71,7 @@
   ++state.in_flight;
   call.tried[call.attempts] = endpoint;
   call.dispatched[call.attempts] = now;
+  call.slowdowns[call.attempts] = state.slowdown;
   ++call.attempts;
   ++call.outstanding;
   call.stage = Stage::kRunning;
@@ -78,10 +84,22 @@
   effects.push_back(Effect::Dispatch{call.ticket, handle, endpoint, call.deadline, hedge_at, keep});
 }
 
+bool Hedge(Parts& parts, CallHandle handle, EndpointHandle endpoint, TimePoint now, Effects& effects) {
+  CallState& call = *parts.calls.Find(handle);
+  if (!parts.At(parts.BranchOf(call).service).hedge_budget.Spend(1.0))
+    return false;
+  call.hedged = true;
+  ++parts.At(call.plan).totals.hedges;
+  Dispatch(parts, handle, endpoint, now, effects);
+  return true;
+}
+
 bool TryDispatch(Parts& parts, CallHandle handle, TimePoint now, Effects& effects) {
   CallState& call = *parts.calls.Find(handle);
   if (IsRevalidating(parts, now))
     return false;
+  if (parts.options.ask_first)
+    return StartAsking(parts, handle, now, effects);
   Selector selector(parts, parts.At(call.plan), call, now);
   const EndpointHandle endpoint = selector.Choose(parts.options.selection);
   if (!endpoint.IsValid())
@@ -93,7 +111,7 @@
 void Enqueue(Parts& parts, CallHandle handle, TimePoint now, Effects& effects) {
   CallState& call = *parts.calls.Find(handle);
   PlanState& plan = parts.At(call.plan);
-  ServiceState& service = parts.At(plan.service);
+  ServiceState& service = parts.At(parts.BranchOf(call).service);
   WaitQueue& queue = service.QueueFor(plan.row.work);
   if (queue.Size() >= parts.options.queue_limit) {
     const auto evicted = queue.EvictBelow(plan.row.priority);
--- a/libs/core/src/dispatch.h
+++ b/libs/core/src/dispatch.h
@@ -11,16 +11,24 @@
 
 struct CallState;
 struct Parts;
+struct Plan;
 struct PlanState;
 struct ServiceState;
 
+/** Endpoints that one call of the plan may be sent to. */
+size_t MaxAttempts(const Plan& plan);
+
 /** Whether a second attempt may be made while the first one runs, apart from its budget. */
 bool MayHedge(const Parts& parts, const CallState& call, const PlanState& plan);
 
 /** Makes an attempt of the call at the endpoint. */
 void Dispatch(Parts& parts, CallHandle handle, EndpointHandle endpoint, TimePoint now, Effects& effects);
 
-/** Makes an attempt of the call if an endpoint has room; returns whether it did. */
+/** Makes a second attempt beside the one that runs, if the budget allows; returns whether it did. */
+bool Hedge(Parts& parts, CallHandle handle, EndpointHandle endpoint, TimePoint now, Effects& effects);
+
+/** Makes an attempt of the call if an endpoint has room, or asks endpoints first; returns false if the call has to
+ * wait. */
 bool TryDispatch(Parts& parts, CallHandle handle, TimePoint now, Effects& effects);
 
 /** Lets the call wait for an endpoint; a full queue drops its least urgent call. */
--- /dev/null
+++ b/libs/core/src/endpoint_feed.cc
@@ -0,0 +1,114 @@
+#include "endpoint_feed.h"
+
+#include <algorithm>
+
+#include <absl/container/flat_hash_set.h>
+
+#include "base/hash.h"
+
+namespace sassafras {
+namespace {
+
+/** Names of endpoints that are gone are kept so long, so that late news of them is recognised. */
+constexpr std::chrono::minutes kGoneMemory{2};
+
+uint64_t HashOf(const EndpointChange& change) {
+  const uint64_t kind = Hash64(change.row.address, static_cast<uint64_t>(change.kind));
+  const uint64_t row = Hash64(change.row.service, Hash64(change.row.name, kind));
+  return HashCombine(row, change.incarnation);
+}
+
+bool SaysTheSame(const EndpointChange& a, const EndpointChange& b) {
+  return HashOf(a) == HashOf(b) && a.row.slots == b.row.slots && a.row.failure_domain == b.row.failure_domain;
+}
+
+}  // namespace
+
+void EndpointFeed::Toggle(const EndpointChange& change) {
+  if (change.kind != EndpointChange::Kind::kGone)
+    m_digest ^= HashOf(change);
+}
+
+bool EndpointFeed::Apply(const EndpointChange& change, Duration gone_delay, TimePoint now) {
+  const bool gone = change.kind == EndpointChange::Kind::kGone;
+  const auto found = m_known.find(change.row.name);
+  if (found == m_known.end() && gone)
+    return false;
+  Known& known = m_known[change.row.name];
+  const bool fresh = found == m_known.end();
+  if (!fresh && change.revision <= known.change.revision)
+    return false;
+  if (!fresh && SaysTheSame(known.change, change) && known.gone_at == TimePoint::max()) {
+    known.change.revision = change.revision;
+    return false;
+  }
+  if (!fresh && gone && known.gone_at != TimePoint::max())
+    return false;
+  if (gone && gone_delay > Duration::zero() && known.change.kind != EndpointChange::Kind::kGone) {
+    // Still used, and still part of the digest, until it counts as gone.
+    known.gone_at = now + gone_delay;
+    known.change.revision = change.revision;
+    m_next_expiry = std::min(m_next_expiry, known.gone_at);
+    return true;
+  }
+  if (!fresh)
+    Toggle(known.change);
+  const EndpointChange before = known.change;
+  known.change = change;
+  if (gone)
+    known.change.row = before.row;
+  known.gone_at = gone ? now : TimePoint::max();
+  if (gone)
+    m_next_expiry = std::min(m_next_expiry, now + kGoneMemory);
+  known.cold_until = now + change.warmup;
+  Toggle(known.change);
+  return true;
+}
+
+void EndpointFeed::RemoveOthers(const std::vector<EndpointChange>& listed,
+                                uint64_t as_of_revision,
+                                Duration gone_delay,
+                                TimePoint now,
+                                std::vector<EndpointChange>& news) {
+  absl::flat_hash_set<std::string_view> names;
+  for (const EndpointChange& change : listed)
+    names.insert(change.row.name);
+  std::vector<EndpointChange> gone;
+  for (const auto& [name, known] : m_known) {
+    if (names.contains(name) || known.change.kind == EndpointChange::Kind::kGone)
+      continue;
+    EndpointChange& change = gone.emplace_back();
+    change.kind = EndpointChange::Kind::kGone;
+    change.row.name = name;
+    change.revision = as_of_revision;
+  }
+  for (const EndpointChange& change : gone) {
+    if (Apply(change, gone_delay, now))
+      news.push_back(change);
+  }
+}
+
+bool EndpointFeed::ExpireGone(TimePoint now) {
+  if (now < m_next_expiry)
+    return false;
+  m_next_expiry = TimePoint::max();
+  bool changed = false;
+  for (auto& [name, known] : m_known) {
+    if (known.gone_at == TimePoint::max())
+      continue;
+    if (known.change.kind != EndpointChange::Kind::kGone && known.gone_at <= now) {
+      Toggle(known.change);
+      known.change.kind = EndpointChange::Kind::kGone;
+      changed = true;
+    }
+    const bool gone = known.change.kind == EndpointChange::Kind::kGone;
+    m_next_expiry = std::min(m_next_expiry, gone ? known.gone_at + kGoneMemory : known.gone_at);
+  }
+  absl::erase_if(m_known, [now](const auto& entry) {
+    const Known& known = entry.second;
+    return known.change.kind == EndpointChange::Kind::kGone && now - known.gone_at >= kGoneMemory;
+  });
+  return changed;
+}
+
+}  // namespace sassafras
--- /dev/null
+++ b/libs/core/src/endpoint_feed.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include <absl/container/flat_hash_map.h>
+
+#include "base/clock.h"
+#include "core/endpoint_change.h"
+
+namespace sassafras {
+
+/** Endpoints as the platform's store lists them. The store's order of changes decides, whoever passed them on. */
+class EndpointFeed {
+ public:
+  struct Known {
+    EndpointChange change;
+    TimePoint cold_until{};
+    /** When an entry that the store dropped counts as gone; the endpoint is used until then. */
+    TimePoint gone_at = TimePoint::max();
+  };
+
+  /**
+   * Takes in a change unless a later one is known.
+   * @param gone_delay  how long an endpoint that is no longer listed is still used
+   * @return whether it says anything new
+   */
+  bool Apply(const EndpointChange& change, Duration gone_delay, TimePoint now);
+  /** Takes in that the store lists only `listed` as of a revision; appends what is new to `news`. */
+  void RemoveOthers(const std::vector<EndpointChange>& listed,
+                    uint64_t as_of,
+                    Duration gone_delay,
+                    TimePoint now,
+                    std::vector<EndpointChange>& news);
+  /** Ends the use of endpoints whose time has come; returns whether there were any. */
+  bool ExpireGone(TimePoint now);
+  /** When ExpireGone() next has something to do. */
+  TimePoint NextExpiry() const { return m_next_expiry; }
+
+  const absl::flat_hash_map<std::string, Known>& All() const { return m_known; }
+  /** Hash over what is listed; the same on instances that know the same. */
+  uint64_t Digest() const { return m_digest; }
+
+  /** Revision of the store up to which this instance knows the endpoints; 0 before the first reading. */
+  uint64_t as_of = 0;
+  /** Newest proof, seen here or by a peer, of what the store lists. */
+  TimePoint confirmed_at{};
+  /** Since when a peer is known to hold other endpoints; TimePoint() if none does. */
+  TimePoint differs_since{};
+  TimePoint last_read{};
+  /** When the store answered again after it had not. */
+  TimePoint store_back_at{};
+  bool store_failing = false;
+  uint32_t failures = 0;
+
+ private:
+  void Toggle(const EndpointChange& change);
+  absl::flat_hash_map<std::string, Known> m_known;
+  uint64_t m_digest = 0;
+  TimePoint m_next_expiry = TimePoint::max();
+};
+
+}  // namespace sassafras
--- a/libs/core/src/endpoint_news.cc
+++ b/libs/core/src/endpoint_news.cc
@@ -1,5 +1,6 @@
 #include "endpoint_news.h"
 
+#include <algorithm>
 #include <chrono>
 
 #include "parts.h"
@@ -10,6 +11,17 @@
 /** How long it is spread that an endpoint leaves or is back. */
 constexpr std::chrono::minutes kLeavingLifetime{10};
 
+/** Consecutive failures from which an endpoint is ejected. */
+constexpr uint16_t kEjectAfter = 3;
+constexpr std::chrono::milliseconds kFirstEjection{500};
+constexpr uint8_t kMaxEjectionShift = 6;
+
+size_t CountEjected(const Parts& parts, const ServiceState& service, TimePoint now) {
+  return static_cast<size_t>(
+      std::count_if(service.endpoints.begin(), service.endpoints.end(),
+                    [&](EndpointHandle endpoint) { return parts.endpoints[endpoint].ejected_until > now; }));
+}
+
 }  // namespace
 
 void UpdateAverage(float& average, float sample) {
@@ -17,6 +29,24 @@
   average = average <= 0.0F ? sample : average + kWeight * (sample - average);
 }
 
+void UpdateShare(float& share, bool hit) {
+  constexpr float kWeight = 0.1F;
+  share += kWeight * ((hit ? 1.0F : 0.0F) - share);
+}
+
+void NoteFailure(Parts& parts, EndpointHandle endpoint, TimePoint now) {
+  EndpointState& state = parts.At(endpoint);
+  UpdateShare(state.failure_rate, true);
+  ++state.consecutive_failures;
+  if (state.consecutive_failures < kEjectAfter || state.ejected_until > now || !state.service.IsValid())
+    return;
+  const ServiceState& service = parts.At(state.service);
+  if (2 * (CountEjected(parts, service, now) + 1) > service.endpoints.size())
+    return;
+  state.ejected_until = now + kFirstEjection * (1 << std::min(state.ejections, kMaxEjectionShift));
+  ++state.ejections;
+}
+
 void LearnFromReport(Parts& parts, EndpointHandle endpoint, const LoadReport& load, TimePoint now) {
   EndpointState& state = parts.At(endpoint);
   NoteAlive(parts, endpoint, load.incarnation, now);
--- a/libs/core/src/endpoint_news.h
+++ b/libs/core/src/endpoint_news.h
@@ -14,6 +14,12 @@
 /** Moves an exponential average towards `sample`; 0 stands for no sample yet. */
 void UpdateAverage(float& average, float sample);
 
+/** Moves a moving average of how often something happens. */
+void UpdateShare(float& share, bool hit);
+
+/** Keeps an endpoint that fails again and again out of use for a while, but never half of a service. */
+void NoteFailure(Parts& parts, EndpointHandle endpoint, TimePoint now);
+
 /** Takes in a load report of an endpoint, with the incarnation and drain mark that it carries. */
 void LearnFromReport(Parts& parts, EndpointHandle endpoint, const LoadReport& load, TimePoint now);
 
--- a/libs/core/src/endpoint_state.h
+++ b/libs/core/src/endpoint_state.h
@@ -19,6 +19,10 @@
   uint32_t own_at_report = 0;
   /** Moving average of answer latency; 0 before the first answer. */
   float latency_us = 0;
+  /** Time that work took there when it was last reported, relative to the usual. */
+  float slowdown = 1.0F;
+  /** Moving average of the part of requests that failed, 0 to 1. */
+  float failure_rate = 0;
   uint16_t consecutive_failures = 0;
   uint8_t ejections = 0;
   /** Whether the row is in the lists now. */
@@ -33,6 +37,8 @@
   TimePoint progress_at{};
   TimePoint ramp_start{};
   TimePoint ejected_until{};
+  /** Until when it is slow after its start. */
+  TimePoint cold_until{};
   uint64_t name_hash = 0;
   /** Newest incarnation seen, and the newest one known to leave. */
   uint64_t incarnation = 0;
--- a/libs/core/src/endpoint_table.cc
+++ b/libs/core/src/endpoint_table.cc
@@ -98,6 +98,7 @@
     return;
   EndpointState& state = m_states[handle.Index()];
   state.reported = report.in_flight;
+  state.slowdown = report.slowdown;
   state.own_at_report = state.in_flight;
   state.reported_at = now;
 }
--- a/libs/core/src/gossip.cc
+++ b/libs/core/src/gossip.cc
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "core/gossip_message.h"
+#include "discovery.h"
 #include "endpoint_news.h"
 #include "parts.h"
 
@@ -16,8 +17,6 @@
 using std::chrono::duration_cast;
 using std::chrono::milliseconds;
 
-/** Peers told in one round. */
-constexpr size_t kFanout = 2;
 constexpr size_t kRumorsPerMessage = 8;
 constexpr size_t kRumorsPerReply = 24;
 /** Peers asked after a pause. */
@@ -106,6 +105,9 @@
   message->sender = parts.self;
   message->generation = parts.lists.generation;
   message->store_age = duration_cast<milliseconds>(now - parts.lists.store_confirmed_at);
+  message->endpoints_digest = parts.feed.Digest();
+  message->endpoints_as_of = parts.feed.as_of;
+  message->endpoints_age = duration_cast<milliseconds>(now - parts.feed.confirmed_at);
   return message;
 }
 
@@ -115,7 +117,9 @@
   AddMembers(parts, true, now, *message);
   AddMembers(parts, false, now, *message);
   AddHeartbeats(parts, now, *message);
-  AddLoads(parts, now, *message);
+  // Where endpoints are asked before each attempt, a peer's older report is of no use.
+  if (!parts.options.ask_first)
+    AddLoads(parts, now, *message);
   return message;
 }
 
@@ -197,15 +201,17 @@
     ApplyRumor(parts, rumor, event.now);
   for (const GossipMessage::EndpointLoad& load : message.loads)
     ApplyLoad(parts, load, event.now);
+  LearnEndpointsFromPeer(parts, message, event.now);
   if (message.ask != 0)
     Reply(parts, message, event.now, effects);
   ListsTracker& lists = parts.lists;
   const bool confirms = message.reply_to != 0 && message.reply_to == lists.asked;
-  if (confirms && message.generation <= lists.generation)
+  const bool same_endpoints = !parts.options.discovery || message.endpoints_digest == parts.feed.Digest();
+  if (confirms && same_endpoints && message.generation <= lists.generation)
     lists.revalidate_until = {};
   if (message.generation > lists.generation && event.now - lists.last_fetch >= kFetchPeriod) {
     lists.last_fetch = event.now;
-    effects.push_back(Effect::FetchLists{message.sender.peer_address});
+    effects.push_back(Effect::FetchLists{message.sender.peer_address, message.generation});
   }
   // The proof speaks of the sender's generation, so it holds for a generation that is no lower.
   if (message.generation <= lists.generation)
@@ -217,13 +223,22 @@
   parts.self.epoch = parts.EpochAt(now);
   parts.members.Heard(parts.self, now);
   std::shared_ptr<const GossipMessage> message = MakeMessage(parts, now);
-  for (size_t i = 0; i < kFanout; ++i) {
+  for (size_t i = 0; i < parts.options.gossip_fanout; ++i) {
     std::string address = RandomPeerAddress(parts, now);
     if (!address.empty())
       effects.push_back(Effect::SendGossip{std::move(address), message});
   }
 }
 
+void SendToAllPeers(Parts& parts, std::vector<EndpointChange> changes, TimePoint now, Effects& effects) {
+  std::shared_ptr<GossipMessage> message = StartMessage(parts, now);
+  message->endpoint_changes = std::move(changes);
+  for (const Membership::Entry& entry : parts.members.All()) {
+    if (entry.member.name != parts.self.name && parts.members.IsAlive(entry, now))
+      effects.push_back(Effect::SendGossip{entry.member.peer_address, message});
+  }
+}
+
 void AskPeers(Parts& parts, TimePoint now, Effects& effects) {
   parts.lists.asked = parts.random();
   auto message = MakeMessage(parts, now);
--- a/libs/core/src/gossip.h
+++ b/libs/core/src/gossip.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <vector>
+
 #include "base/clock.h"
 #include "core/effect.h"
 #include "core/event.h"
@@ -14,6 +16,9 @@
 /** Sends this instance's news to a fixed number of peers. */
 void SendGossipRound(Parts& parts, TimePoint now, Effects& effects);
 
+/** Tells all peers at once which lists are held here and which endpoints have changed. */
+void SendToAllPeers(Parts& parts, std::vector<EndpointChange> changes, TimePoint now, Effects& effects);
+
 /** Asks a few peers for all they know; their answers confirm this instance's knowledge after a pause. */
 void AskPeers(Parts& parts, TimePoint now, Effects& effects);
 
--- a/libs/core/src/lists_apply.cc
+++ b/libs/core/src/lists_apply.cc
@@ -47,6 +47,18 @@
   return {};
 }
 
+/** Gives each service its part of what the fleet may spend on extra attempts. */
+void SetBudgets(Parts& parts) {
+  const double share = parts.options.retry_slack / std::max(1.0, static_cast<double>(parts.options.fleet_limit));
+  for (ServiceState& service : parts.services) {
+    if (service.retry_budget.IsSet())
+      continue;
+    // Half of the fleet's ratio for each, so that retries and hedges together stay within it.
+    service.retry_budget = TokenBucket(parts.options.retry_ratio / 2, share / 2);
+    service.hedge_budget = TokenBucket(parts.options.retry_ratio / 2, share / 2);
+  }
+}
+
 void ApplyEndpoints(Parts& parts, const Lists& lists, TimePoint now) {
   // Endpoints of the first lists have served before this instance started.
   const bool ramp = parts.phase != Phase::kStarting;
@@ -90,39 +102,101 @@
   candidates.resize(kSubsetSize);
 }
 
+/** Makes the plan's branches; the credit of one that stays is kept. */
+void ApplyBranches(Parts& parts, PlanState& plan) {
+  std::vector<WeightedService> services = plan.row.split;
+  if (services.empty())
+    services.push_back({plan.row.service, 1});
+  std::vector<PlanBranch> branches;
+  for (const WeightedService& service : services) {
+    PlanBranch& branch = branches.emplace_back();
+    branch.service = FindService(parts, service.service);
+    branch.weight = service.weight;
+    for (const PlanBranch& earlier : plan.branches) {
+      if (earlier.service == branch.service)
+        branch.credit = earlier.credit;
+    }
+  }
+  plan.branches = std::move(branches);
+}
+
+void ApplyCandidates(Parts& parts, PlanState& plan) {
+  const Plan& row = plan.row;
+  const absl::flat_hash_set<std::string> permitted(row.endpoints.begin(), row.endpoints.end());
+  for (PlanBranch& branch : plan.branches) {
+    branch.candidates.clear();
+    for (const EndpointHandle handle : parts.At(branch.service).endpoints) {
+      const bool named = permitted.empty() || permitted.contains(parts.endpoints.Row(handle).name);
+      const bool lane = row.work == Work::kShort || parts.At(handle).long_lane;
+      if (named && lane)
+        branch.candidates.push_back(handle);
+    }
+    KeepSubset(parts, branch.candidates);
+  }
+}
+
 void ApplyPlan(Parts& parts, const Plan& row) {
   PlanState& plan = parts.At(FindOrAddRow(parts.plans, row.name, PlanHandle()));
   plan.row = row;
   plan.active = true;
-  plan.service = FindService(parts, row.service);
   if (plan.ring == nullptr)
     plan.ring = std::make_unique<BurnRing>();
-  plan.candidates.clear();
-  const absl::flat_hash_set<std::string> permitted(row.endpoints.begin(), row.endpoints.end());
-  for (const EndpointHandle handle : parts.At(plan.service).endpoints) {
-    const bool named = permitted.empty() || permitted.contains(parts.endpoints.Row(handle).name);
-    const bool lane = row.work == Work::kShort || parts.At(handle).long_lane;
-    if (named && lane)
-      plan.candidates.push_back(handle);
+  ApplyBranches(parts, plan);
+}
+
+void RefreshCandidates(Parts& parts) {
+  for (ServiceState& service : parts.services)
+    AssignLongLane(parts, service);
+  for (PlanState& plan : parts.plans) {
+    if (plan.active)
+      ApplyCandidates(parts, plan);
+    else
+      plan.branches.clear();
   }
-  KeepSubset(parts, plan.candidates);
 }
 
 }  // namespace
 
 void ApplyLists(Parts& parts, const Lists& lists, TimePoint now) {
+  parts.limits = lists.limits;
   ApplyServices(parts, lists);
-  ApplyEndpoints(parts, lists, now);
-  for (ServiceState& service : parts.services)
-    AssignLongLane(parts, service);
+  SetBudgets(parts);
   for (PlanState& plan : parts.plans)
     plan.active = false;
   for (const Plan& row : lists.plans)
     ApplyPlan(parts, row);
-  for (PlanState& plan : parts.plans) {
-    if (!plan.active)
-      plan.candidates.clear();
+  parts.plan_index.Rebuild(parts.plans);
+  if (parts.options.discovery) {
+    ApplyDiscovered(parts, now);
+    return;
+  }
+  ApplyEndpoints(parts, lists, now);
+  RefreshCandidates(parts);
+  parts.endpoints.ReclaimInactive();
+}
+
+void ApplyDiscovered(Parts& parts, TimePoint now) {
+  // Endpoints that were there when this instance started have served before.
+  const bool ramp = parts.phase != Phase::kStarting;
+  for (ServiceState& service : parts.services)
+    service.endpoints.clear();
+  parts.endpoints.DeactivateAll();
+  for (const auto& [name, known] : parts.feed.All()) {
+    const ServiceHandle service = FindService(parts, known.change.row.service);
+    if (!service.IsValid() || known.change.kind == EndpointChange::Kind::kGone)
+      continue;
+    const EndpointHandle handle = parts.endpoints.Upsert(known.change.row, service, now, ramp);
+    EndpointState& state = parts.At(handle);
+    parts.endpoints.SawIncarnation(handle, known.change.incarnation, now);
+    // The store's order decides: its latest entry holds, whatever an earlier one said.
+    state.leaving = known.change.kind == EndpointChange::Kind::kLeaving;
+    state.cold_until = known.cold_until;
+    state.same_domain = known.change.row.failure_domain == parts.self.failure_domain;
+    const uint32_t connections = parts.At(service).row.connections;
+    state.connection_limit = std::max(1u, connections / parts.options.fleet_limit);
+    parts.At(service).endpoints.push_back(handle);
   }
+  RefreshCandidates(parts);
   parts.endpoints.ReclaimInactive();
 }
 
--- a/libs/core/src/lists_apply.h
+++ b/libs/core/src/lists_apply.h
@@ -10,4 +10,7 @@
 /** Puts lists into force. Calls in progress and what was learned of unchanged rows stay. */
 void ApplyLists(Parts& parts, const Lists& lists, TimePoint now);
 
+/** Puts the endpoints that the platform's store lists into force. */
+void ApplyDiscovered(Parts& parts, TimePoint now);
+
 }  // namespace sassafras
--- a/libs/core/src/membership.cc
+++ b/libs/core/src/membership.cc
@@ -50,6 +50,8 @@
   // Leaving is final for an incarnation, whatever order messages arrive in.
   known.leaving = known.leaving || member.leaving;
   known.epoch = std::max(known.epoch, member.epoch);
+  if (member.heartbeat >= known.heartbeat)
+    known.store_reachable = member.store_reachable;
   Advance(entry, member.heartbeat, now);
 }
 
@@ -94,4 +96,18 @@
   }));
 }
 
+size_t Membership::RankForReaching(uint64_t purpose, uint64_t self_hash, TimePoint now) const {
+  const auto self = std::find_if(m_entries.begin(), m_entries.end(),
+                                 [&](const Entry& entry) { return entry.name_hash == self_hash; });
+  const bool reaching = self == m_entries.end() || self->member.store_reachable;
+  const uint64_t own = HashCombine(purpose, self_hash);
+  return static_cast<size_t>(std::count_if(m_entries.begin(), m_entries.end(), [&](const Entry& entry) {
+    if (!IsAlive(entry, now) || entry.member.leaving || entry.name_hash == self_hash)
+      return false;
+    if (entry.member.store_reachable != reaching)
+      return entry.member.store_reachable;
+    return HashCombine(purpose, entry.name_hash) < own;
+  }));
+}
+
 }  // namespace sassafras
--- a/libs/core/src/membership.h
+++ b/libs/core/src/membership.h
@@ -54,6 +54,8 @@
    * same view agree on it, and one member's coming or going moves others by one at most.
    */
   size_t RankFor(uint64_t purpose, uint64_t self_hash, TimePoint now) const;
+  /** Like RankFor(), but members that cannot reach the platform's store come after all others. */
+  size_t RankForReaching(uint64_t purpose, uint64_t self_hash, TimePoint now) const;
 
  private:
   static void SetIdentity(Entry& entry, const Member& member, TimePoint now);
--- a/libs/core/src/parts.h
+++ b/libs/core/src/parts.h
@@ -8,10 +8,13 @@
 #include "call_table.h"
 #include "core/state.h"
 #include "core/state_options.h"
+#include "endpoint_feed.h"
 #include "endpoint_table.h"
 #include "idempotency_table.h"
+#include "lists/caller_limits.h"
 #include "lists_tracker.h"
 #include "membership.h"
+#include "plan_index.h"
 #include "plan_state.h"
 #include "probe_schedule.h"
 #include "quarantine.h"
@@ -24,6 +27,7 @@
 struct Parts {
   explicit Parts(const StateOptions& options_in);
 
+  PlanBranch& BranchOf(const CallState& call) { return At(call.plan).branches[call.branch]; }
   PlanState& At(PlanHandle handle) { return plans[handle.Index()]; }
   ServiceState& At(ServiceHandle handle) { return services[handle.Index()]; }
   EndpointState& At(EndpointHandle handle) { return endpoints[handle]; }
@@ -38,16 +42,21 @@
   /** When a leaving instance closes its listeners. */
   TimePoint close_at{};
 
+  CallerLimits limits;
   std::vector<PlanState> plans;
+  PlanIndex plan_index;
   std::vector<ServiceState> services;
   EndpointTable endpoints;
   CallTable calls;
+  EndpointFeed feed;
   IdempotencyTable records;
   Quarantine quarantine;
   ListsTracker lists;
   Membership members;
   RumorBoard rumors;
   ProbeSchedule probes;
+  /** Moving average of the time in which an endpoint answers when asked. */
+  float ask_rtt_us = 0;
   uint64_t probes_sent = 0;
   /** Whether a new fact waits to be sent before the next gossip round. */
   bool gossip_now = false;
--- /dev/null
+++ b/libs/core/src/plan_index.cc
@@ -0,0 +1,50 @@
+#include "plan_index.h"
+
+#include <algorithm>
+
+#include <absl/strings/string_view.h>
+
+#include "plan_state.h"
+
+namespace sassafras {
+namespace {
+
+constexpr std::string_view kAnyMethod = "*";
+
+}  // namespace
+
+void PlanIndex::Rebuild(const std::vector<PlanState>& plans) {
+  m_by_host.clear();
+  for (uint32_t index = 0; index < plans.size(); ++index) {
+    const PlanState& plan = plans[index];
+    if (plan.active)
+      m_by_host[plan.row.host].push_back({plan.row.path_prefix, plan.row.method, PlanHandle(index)});
+  }
+  for (auto& [host, rows] : m_by_host) {
+    // A plan for the very method goes before one for any method with the same prefix.
+    std::stable_sort(rows.begin(), rows.end(), [](const Row& a, const Row& b) {
+      if (a.prefix.size() != b.prefix.size())
+        return a.prefix.size() > b.prefix.size();
+      return a.method != kAnyMethod && b.method == kAnyMethod;
+    });
+  }
+}
+
+PlanHandle PlanIndex::FindAmong(const Rows& rows, std::string_view method, std::string_view path) const {
+  const auto found = std::find_if(rows.begin(), rows.end(), [&](const Row& row) {
+    return (row.method == kAnyMethod || row.method == method) && path.starts_with(row.prefix);
+  });
+  return found == rows.end() ? PlanHandle() : found->plan;
+}
+
+PlanHandle PlanIndex::Find(std::string_view host, std::string_view method, std::string_view path) const {
+  for (const std::string_view key : {host, std::string_view()}) {
+    const auto found = m_by_host.find(absl::string_view(key.data(), key.size()));
+    const PlanHandle plan = found == m_by_host.end() ? PlanHandle() : FindAmong(found->second, method, path);
+    if (plan.IsValid())
+      return plan;
+  }
+  return {};
+}
+
+}  // namespace sassafras
--- /dev/null
+++ b/libs/core/src/plan_index.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include <absl/container/flat_hash_map.h>
+
+#include "base/handle.h"
+
+namespace sassafras {
+
+struct PlanState;
+
+/** Finds the plan of a request by host, method and path. */
+class PlanIndex {
+ public:
+  void Rebuild(const std::vector<PlanState>& plans);
+  /** The plan with the longest matching prefix; one for the very host goes before one for any. */
+  PlanHandle Find(std::string_view host, std::string_view method, std::string_view path) const;
+
+ private:
+  struct Row {
+    std::string prefix;
+    std::string method;
+    PlanHandle plan;
+  };
+  using Rows = std::vector<Row>;
+  PlanHandle FindAmong(const Rows& rows, std::string_view method, std::string_view path) const;
+  /** Rows of each host, those with the longest prefix first. */
+  absl::flat_hash_map<std::string, Rows> m_by_host;
+};
+
+}  // namespace sassafras
--- a/libs/core/src/reducer.cc
+++ b/libs/core/src/reducer.cc
@@ -2,9 +2,11 @@
 
 #include <variant>
 
+#include "asking.h"
 #include "attempts.h"
 #include "calls.h"
 #include "control.h"
+#include "discovery.h"
 #include "gossip.h"
 #include "parts.h"
 
@@ -22,6 +24,9 @@
   void operator()(const Event::GossipReceived& event) { OnGossipReceived(parts, event, effects); }
   void operator()(const Event::CallArrived& event) { OnCallArrived(parts, event, effects); }
   void operator()(const Event::CallerGone& event) { OnCallerGone(parts, event, effects); }
+  void operator()(const Event::EndpointsReceived& event) { OnEndpointsReceived(parts, event, effects); }
+  void operator()(const Event::StoreRead& event) { OnStoreRead(parts, event, effects); }
+  void operator()(const Event::AskDue& event) { OnAskDue(parts, event, effects); }
   void operator()(const Event::HedgeDue& event) { OnHedgeDue(parts, event, effects); }
   void operator()(const Event::AttemptEnded& event) { OnAttemptEnded(parts, event, effects); }
   void operator()(const Event::ProbeEnded& event) { OnProbeEnded(parts, event, effects); }
--- a/libs/core/src/selection.cc
+++ b/libs/core/src/selection.cc
@@ -46,6 +46,16 @@
 
 }  // namespace
 
+bool IsEligible(Parts& parts, const CallState& call, EndpointHandle endpoint, TimePoint now) {
+  const EndpointState& state = parts.At(endpoint);
+  if (!state.active || state.leaving || state.ejected_until > now)
+    return false;
+  if (state.in_flight >= state.connection_limit)
+    return false;
+  const auto end = call.tried.begin() + call.attempts;
+  return std::find(call.tried.begin(), end, endpoint) == end;
+}
+
 std::optional<SelectionRule> ParseSelectionRule(std::string_view name) {
   for (const auto& [known, rule] : kNames) {
     if (known == name)
@@ -64,37 +74,27 @@
 };
 
 EndpointHandle Selector::Choose(SelectionRule rule) {
-  if (m_plan.candidates.empty())
+  if (m_branch.candidates.empty())
     return {};
   const Rule choose = kRules[static_cast<size_t>(rule)].choose;
   return (this->*choose)();
 }
 
-bool Selector::IsEligible(EndpointHandle endpoint) const {
-  const EndpointState& state = m_parts.At(endpoint);
-  if (!state.active || state.leaving || state.ejected_until > m_now)
-    return false;
-  if (state.in_flight >= state.connection_limit)
-    return false;
-  const auto end = m_call.tried.begin() + m_call.attempts;
-  return std::find(m_call.tried.begin(), end, endpoint) == end;
-}
-
 EndpointHandle Selector::EligibleFrom(size_t start) const {
-  const size_t count = m_plan.candidates.size();
+  const size_t count = m_branch.candidates.size();
   for (size_t step = 0; step < count; ++step) {
-    const EndpointHandle endpoint = m_plan.candidates[(start + step) % count];
-    if (IsEligible(endpoint))
+    const EndpointHandle endpoint = m_branch.candidates[(start + step) % count];
+    if (IsEligible(m_parts, m_call, endpoint, m_now))
       return endpoint;
   }
   return {};
 }
 
 EndpointHandle Selector::Sample() const {
-  const size_t count = m_plan.candidates.size();
+  const size_t count = m_branch.candidates.size();
   for (int draw = 0; draw < kDraws; ++draw) {
-    const EndpointHandle endpoint = m_plan.candidates[m_parts.random() % count];
-    if (IsEligible(endpoint))
+    const EndpointHandle endpoint = m_branch.candidates[m_parts.random() % count];
+    if (IsEligible(m_parts, m_call, endpoint, m_now))
       return endpoint;
   }
   return EligibleFrom(m_parts.random() % count);
@@ -126,11 +126,11 @@
 }
 
 EndpointHandle Selector::LeastInFlight() {
-  const size_t start = m_parts.random() % m_plan.candidates.size();
+  const size_t start = m_parts.random() % m_branch.candidates.size();
   EndpointHandle best;
-  for (size_t step = 0; step < m_plan.candidates.size(); ++step) {
-    const EndpointHandle endpoint = m_plan.candidates[(start + step) % m_plan.candidates.size()];
-    if (!IsEligible(endpoint))
+  for (size_t step = 0; step < m_branch.candidates.size(); ++step) {
+    const EndpointHandle endpoint = m_branch.candidates[(start + step) % m_branch.candidates.size()];
+    if (!IsEligible(m_parts, m_call, endpoint, m_now))
       continue;
     if (!best.IsValid() || m_parts.At(endpoint).in_flight < m_parts.At(best).in_flight)
       best = endpoint;
--- a/libs/core/src/selection.h
+++ b/libs/core/src/selection.h
@@ -3,18 +3,18 @@
 #include "base/clock.h"
 #include "base/handle.h"
 #include "core/selection_rule.h"
+#include "parts.h"
 
 namespace sassafras {
 
-struct CallState;
-struct Parts;
-struct PlanState;
+/** Whether an attempt of the call may go to the endpoint. */
+bool IsEligible(Parts& parts, const CallState& call, EndpointHandle endpoint, TimePoint now);
 
 /** Chooses endpoints for calls. Looks at a bounded number of candidates, however many there are. */
 class Selector {
  public:
   Selector(Parts& parts, PlanState& plan, const CallState& call, TimePoint now)
-      : m_parts(parts), m_plan(plan), m_call(call), m_now(now) {}
+      : m_parts(parts), m_plan(plan), m_branch(parts.BranchOf(call)), m_call(call), m_now(now) {}
 
   /** Returns the endpoint for the next attempt of the call, or an invalid handle if it has to wait. */
   EndpointHandle Choose(SelectionRule rule);
@@ -34,7 +34,6 @@
   EndpointHandle PeakEwma();
   EndpointHandle HotCold();
 
-  bool IsEligible(EndpointHandle endpoint) const;
   /** First eligible candidate at or after a position, in cyclic order. */
   EndpointHandle EligibleFrom(size_t start) const;
   EndpointHandle Sample() const;
@@ -53,6 +52,7 @@
 
   Parts& m_parts;
   PlanState& m_plan;
+  PlanBranch& m_branch;
   const CallState& m_call;
   TimePoint m_now;
 };
--- a/libs/core/src/service_state.h
+++ b/libs/core/src/service_state.h
@@ -7,6 +7,7 @@
 #include "base/handle.h"
 #include "lists/plan.h"
 #include "lists/service.h"
+#include "token_bucket.h"
 #include "wait_queue.h"
 
 namespace sassafras {
@@ -22,6 +23,9 @@
   double virtual_time = 0;
   /** Moving average of answer latency over all endpoints, for each Work. */
   std::array<float, 2> latency_us{};
+  /** Extra attempts that may be made; retries draw on both, hedges only on their own. */
+  TokenBucket retry_budget;
+  TokenBucket hedge_budget;
   /** Moving average of other instances' load in one endpoint's report. */
   float others_load = 0;
 
--- a/libs/core/src/state.cc
+++ b/libs/core/src/state.cc
@@ -1,14 +1,24 @@
 #include "core/state.h"
 
+#include <algorithm>
 #include <string>
 
 #include "base/hash.h"
+#include "control.h"
 #include "core/plan_counters.h"
 #include "core/state_options.h"
 #include "dispatch.h"
 #include "parts.h"
 
 namespace sassafras {
+namespace {
+
+/** Members of a failure domain that suffice for its callers. */
+constexpr size_t kEnoughMembers = 2;
+/** Addresses in one answer. */
+constexpr size_t kMostMembers = 64;
+
+}  // namespace
 
 Parts::Parts(const StateOptions& options_in)
     : options(options_in),
@@ -43,22 +53,8 @@
   return CountWaiting(*m_parts);
 }
 
-PlanHandle State::FindPlan(std::string_view method, std::string_view path) const {
-  PlanHandle best;
-  size_t best_length = 0;
-  for (uint32_t index = 0; index < m_parts->plans.size(); ++index) {
-    const PlanState& plan = m_parts->plans[index];
-    const Plan& row = plan.row;
-    const bool matches =
-        plan.active && (row.method == "*" || row.method == method) && path.starts_with(row.path_prefix);
-    // A plan for the very method goes before one for any method with the same prefix.
-    const size_t length = 2 * row.path_prefix.size() + (row.method == "*" ? 0 : 1);
-    if (matches && length > best_length) {
-      best = PlanHandle(index);
-      best_length = length;
-    }
-  }
-  return best;
+PlanHandle State::FindPlan(std::string_view host, std::string_view method, std::string_view path) const {
+  return m_parts->plan_index.Find(host, method, path);
 }
 
 const Plan& State::PlanRow(PlanHandle plan) const {
@@ -85,6 +81,14 @@
   return m_parts->At(endpoint).in_flight;
 }
 
+TimePoint State::NextTick(TimePoint now) const {
+  return NextTickOf(*m_parts, now);
+}
+
+uint64_t State::EndpointsAsOf() const {
+  return m_parts->feed.as_of;
+}
+
 std::vector<Member> State::ServingMembers() const {
   std::vector<Member> result;
   const TimePoint now = m_parts->last_tick;
@@ -98,10 +102,26 @@
   return result;
 }
 
+std::vector<Member> State::MembersFor(std::string_view failure_domain) const {
+  std::vector<Member> members = ServingMembers();
+  const auto is_near = [&](const Member& member) { return member.failure_domain == failure_domain; };
+  if (static_cast<size_t>(std::count_if(members.begin(), members.end(), is_near)) >= kEnoughMembers)
+    std::erase_if(members, [&](const Member& member) { return !is_near(member); });
+  if (members.size() > kMostMembers) {
+    std::shuffle(members.begin(), members.end(), m_parts->random);
+    members.resize(kMostMembers);
+  }
+  return members;
+}
+
 const Member& State::Self() const {
   return m_parts->self;
 }
 
+const CallerLimits& State::Limits() const {
+  return m_parts->limits;
+}
+
 size_t State::PlanCount() const {
   return m_parts->plans.size();
 }
@@ -136,8 +156,10 @@
 size_t State::TableBytes() const {
   size_t bytes = m_parts->endpoints.Size() * (sizeof(EndpointState) + sizeof(Endpoint));
   bytes += m_parts->plans.size() * (sizeof(PlanState) + sizeof(BurnRing));
-  for (const PlanState& plan : m_parts->plans)
-    bytes += plan.candidates.size() * sizeof(EndpointHandle);
+  for (const PlanState& plan : m_parts->plans) {
+    for (const PlanBranch& branch : plan.branches)
+      bytes += branch.candidates.size() * sizeof(EndpointHandle);
+  }
   bytes += m_parts->services.size() * sizeof(ServiceState);
   bytes += m_parts->members.All().size() * sizeof(Membership::Entry);
   bytes += m_parts->records.Size() * sizeof(IdempotencyTable::Record);
--- a/libs/core/src/token_bucket.h
+++ b/libs/core/src/token_bucket.h
@@ -7,12 +7,15 @@
 /** Budget that grows with each call and is spent by extra attempts. */
 class TokenBucket {
  public:
+  /** An empty bucket that never fills. */
+  TokenBucket() = default;
   /**
    * @param earn   tokens gained with each call
    * @param limit  tokens held at most; also the start
    */
   TokenBucket(double earn, double limit) : m_earn(earn), m_limit(limit), m_tokens(limit) {}
 
+  bool IsSet() const { return m_limit > 0; }
   void Earn() { m_tokens = std::min(m_limit, m_tokens + m_earn); }
   /** Takes `cost` tokens if they are there. */
   bool Spend(double cost) {
@@ -23,9 +26,9 @@
   }
 
  private:
-  double m_earn;
-  double m_limit;
-  double m_tokens;
+  double m_earn = 0;
+  double m_limit = 0;
+  double m_tokens = 0;
 };
 
 }  // namespace sassafras
--- a/libs/core/tests/world.cc
+++ b/libs/core/tests/world.cc
@@ -141,7 +141,7 @@
   const bool safe = call.repeat_safe;
   Deliver(index, send.incarnation, [this, event, index, safe]() mutable -> Event::Any {
     event.now = m_now;
-    event.plan = m_instances[index].state->FindPlan(safe ? "GET" : "POST", "/");
+    event.plan = m_instances[index].state->FindPlan("", safe ? "GET" : "POST", "/");
     return event;
   });
 }
--- a/libs/core/tests/world.h
+++ b/libs/core/tests/world.h
@@ -161,6 +161,8 @@
   void On(size_t instance, const Effect::Reject& effect);
   void On(size_t instance, const Effect::AnswerRecorded& effect);
   void On(size_t instance, const Effect::SendProbe& effect);
+  void On(size_t instance, const Effect::ArmAsk& effect);
+  void On(size_t instance, const Effect::ReadEndpoints& effect);
   void On(size_t instance, const Effect::SendGossip& effect);
   void On(size_t instance, const Effect::FetchLists& effect);
   void On(size_t instance, const Effect::PollStore& effect);
--- a/libs/core/tests/world_effects.cc
+++ b/libs/core/tests/world_effects.cc
@@ -133,6 +133,10 @@
   Tell(instance, effect.ticket, std::nullopt, std::nullopt, effect.answer.get());
 }
 
+void World::On(size_t /*instance*/, const Effect::ArmAsk& /*effect*/) {}
+
+void World::On(size_t /*instance*/, const Effect::ReadEndpoints& /*effect*/) {}
+
 void World::On(size_t instance, const Effect::SendProbe& effect) {
   const size_t endpoint = EndpointIndex(instance, effect.endpoint);
   const uint64_t incarnation = m_instances[instance].incarnation;
--- a/libs/entry/include/entry/entry_instance.h
+++ b/libs/entry/include/entry/entry_instance.h
@@ -5,6 +5,8 @@
 #include <absl/status/status.h>
 #include <boost/asio/io_context.hpp>
 
+#include "entry/surroundings.h"
+
 namespace sassafras {
 
 class Clock;
@@ -14,7 +16,10 @@
 class EntryInstance {
  public:
   /** @param clock  must outlive the instance */
-  EntryInstance(boost::asio::io_context& context, const Settings& settings, const Clock& clock);
+  EntryInstance(boost::asio::io_context& context,
+                const Settings& settings,
+                const Clock& clock,
+                Surroundings surroundings = {});
   ~EntryInstance();
   EntryInstance(const EntryInstance&) = delete;
   EntryInstance& operator=(const EntryInstance&) = delete;
--- /dev/null
+++ b/libs/entry/include/entry/native_dialect.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include "entry/http_dialect.h"
+
+namespace sassafras {
+
+/** The product's own headers; see docs/PROTOCOL.md. */
+class NativeDialect final : public HttpDialect {
+ public:
+  absl::StatusOr<Duration> ReadDeadline(const Fields& fields) const override;
+  std::string_view RequestId(const Fields& fields) const override;
+  void PrepareAttempt(RequestHead& head,
+                      std::string_view endpoint_name,
+                      std::string_view endpoint_address,
+                      std::chrono::milliseconds left) const override;
+  AnswerKind Classify(const RequestHead& request, const AnswerHead& answer) const override;
+  LoadReport ReadLoad(const Fields& fields) const override;
+  bool IsFromOther(const Fields& fields, std::string_view endpoint_name) const override;
+  uint16_t StatusOf(Reason reason) const override;
+  void MarkAnswer(const RequestHead& request, Fields& answer) const override;
+};
+
+}  // namespace sassafras
--- a/libs/entry/src/admin_pages.cc
+++ b/libs/entry/src/admin_pages.cc
@@ -9,6 +9,7 @@
 #include "core/plan_counters.h"
 #include "core/state.h"
 #include "engine.h"
+#include "entry/page_source.h"
 #include "lists/endpoint.h"
 #include "lists/plan.h"
 #include "request_facts.h"
@@ -48,7 +49,7 @@
           {"retries", counters.retries}, {"hedges", counters.hedges}};
 }
 
-AdminPages::Page JsonPage(int status, const json::value& value) {
+Page JsonPage(int status, const json::value& value) {
   return {status, "application/json", json::serialize(value) + "\n"};
 }
 
@@ -82,11 +83,16 @@
 AdminPages::AdminPages(const Engine& engine,
                        const Settings& settings,
                        Counters& counters,
+                       const PageSource* more,
                        std::function<void()> refresh)
-    : m_engine(engine), m_settings(settings), m_counters(counters), m_refresh(std::move(refresh)) {}
+    : m_engine(engine), m_settings(settings), m_counters(counters), m_more(more), m_refresh(std::move(refresh)) {}
 
-AdminPages::Page AdminPages::Render(std::string_view target) const {
+Page AdminPages::Render(std::string_view target) const {
   const std::string_view path = PathOf(target);
+  if (m_more != nullptr) {
+    if (auto page = m_more->Render(target, m_engine.GetState()))
+      return *std::move(page);
+  }
   std::string known;
   for (const Row& row : kRows) {
     if (row.path == path)
@@ -96,7 +102,7 @@
   return {kNotFound, "text/plain", "no such page; use one of\n" + known};
 }
 
-AdminPages::Page AdminPages::Addresses() const {
+Page AdminPages::Addresses() const {
   json::array addresses;
   for (const Member& member : m_engine.GetState().ServingMembers()) {
     addresses.push_back(json::object{{"address", member.address},
@@ -108,12 +114,12 @@
                                        {"addresses", std::move(addresses)}});
 }
 
-AdminPages::Page AdminPages::Health() const {
+Page AdminPages::Health() const {
   const Phase phase = m_engine.GetState().CurrentPhase();
   return JsonPage(phase == Phase::kServing ? kOk : kUnavailable, json::object{{"phase", PhaseName(phase)}});
 }
 
-AdminPages::Page AdminPages::CountersText() const {
+Page AdminPages::CountersText() const {
   m_refresh();
   const State& state = m_engine.GetState();
   std::string text = m_counters.RenderText() + m_engine.Overhead().RenderText("sassafras_overhead_seconds");
@@ -122,7 +128,7 @@
   return {kOk, "text/plain; version=0.0.4", std::move(text)};
 }
 
-AdminPages::Page AdminPages::Status() const {
+Page AdminPages::Status() const {
   const State& state = m_engine.GetState();
   json::array leaving;
   for (uint32_t index = 0; index < state.EndpointCount(); ++index) {
@@ -147,7 +153,7 @@
                                     {"leaving_endpoints", std::move(leaving)}});
 }
 
-AdminPages::Page AdminPages::Burn() const {
+Page AdminPages::Burn() const {
   const State& state = m_engine.GetState();
   json::array plans;
   for (uint32_t index = 0; index < state.PlanCount(); ++index) {
--- a/libs/entry/src/admin_pages.h
+++ b/libs/entry/src/admin_pages.h
@@ -5,23 +5,26 @@
 #include <string_view>
 
 #include "base/counters.h"
+#include "entry/page.h"
 
 namespace sassafras {
 
 class Engine;
+class PageSource;
 struct Settings;
 
 /** Pages under /sassafras/: address answer, health, counters, status and burn. */
 class AdminPages {
  public:
-  struct Page {
-    int status = 200;
-    std::string content_type;
-    std::string body;
-  };
-
-  /** @param refresh  brings the counters of other parts up to date before they are rendered */
-  AdminPages(const Engine& engine, const Settings& settings, Counters& counters, std::function<void()> refresh);
+  /**
+   * @param more     pages of the platform; may be null
+   * @param refresh  brings the counters of other parts up to date before they are rendered
+   */
+  AdminPages(const Engine& engine,
+             const Settings& settings,
+             Counters& counters,
+             const PageSource* more,
+             std::function<void()> refresh);
 
   /** Renders the page for a request target; 404 with the list of pages for an unknown one. */
   Page Render(std::string_view target) const;
@@ -43,6 +46,7 @@
   const Engine& m_engine;
   const Settings& m_settings;
   Counters& m_counters;
+  const PageSource* m_more;
   std::function<void()> m_refresh;
 };
 
--- a/libs/entry/src/attempt.cc
+++ b/libs/entry/src/attempt.cc
@@ -7,6 +7,7 @@
 #include "call_exchange.h"
 #include "core/state.h"
 #include "engine.h"
+#include "entry/http_dialect.h"
 #include "net/http_client.h"
 #include "upstream_headers.h"
 #include "upstream_pool.h"
@@ -18,11 +19,15 @@
 constexpr size_t kPieceBytes = 16u << 10u;
 /** Largest answer that is kept for a repeated idempotency key. */
 constexpr size_t kMaxKeptBytes = 64u << 10u;
+/** Part of an answer that is held before any of it is passed on. */
+constexpr size_t kMaxHeldAnswer = 128u << 10u;
+/** Answers to earlier requests that are passed over on one connection. */
+constexpr int kMaxForeignAnswers = 2;
+constexpr int kMaxSkippedPieces = 64;
 constexpr uint32_t kMaxHeadBytes = 32u << 10u;
 /** Requests that must not be repeated use only connections that were in use a moment ago. */
 constexpr std::chrono::milliseconds kFreshIdle{200};
-constexpr std::chrono::seconds kAnyIdle{30};
-constexpr std::string_view kDeadlineHeader = "Sassafras-Deadline-Ms";
+constexpr std::chrono::seconds kAnyIdle{8};
 constexpr unsigned kFirstFailureStatus = 500;
 
 std::chrono::milliseconds TimeLeft(TimePoint deadline, TimePoint now) {
@@ -31,8 +36,12 @@
 
 }  // namespace
 
-Attempt::Attempt(CallExchange& exchange, Engine& engine, UpstreamPool& pool, AttemptTarget target)
-    : m_exchange(exchange), m_engine(engine), m_pool(pool), m_target(std::move(target)) {
+Attempt::Attempt(CallExchange& exchange,
+                 Engine& engine,
+                 UpstreamPool& pool,
+                 const HttpDialect& dialect,
+                 AttemptTarget target)
+    : m_exchange(exchange), m_engine(engine), m_pool(pool), m_dialect(dialect), m_target(std::move(target)) {
   m_ended.endpoint = m_target.endpoint;
 }
 
@@ -73,17 +82,27 @@
   m_request_sent_whole = !send_error;
   m_sent_at = m_engine.Now();
   // An endpoint may answer before it has read the whole request and then close.
-  const error_code head_error = co_await ReadHead();
+  AnswerKind kind = AnswerKind::kMalformed;
+  const error_code head_error = co_await ReadOwnHead(kind);
   if (head_error)
     co_return Failed(head_error);
   m_head_at = m_engine.Now();
   const auto& head = m_response->get();
-  m_ended.load = ReadLoadReport(head);
+  m_ended.load = m_dialect.ReadLoad(head);
   m_ended.failure_status = head.result_int() >= kFirstFailureStatus;
-  if (IsRefusal(head))
-    co_return co_await Discard();
-  if (!IsFramed())
+  if (kind == AnswerKind::kRefusal || kind == AnswerKind::kWrongEndpoint) {
+    const error_code skip_error = co_await SkipBody();
+    if (!skip_error)
+      ReturnIfClean();
+    m_ended.wrong_endpoint = kind == AnswerKind::kWrongEndpoint;
+    co_return AttemptResult::kRefused;
+  }
+  if (kind != AnswerKind::kOwn)
     co_return AttemptResult::kMalformed;
+  // Held whole where it is small, so that a caller never sees a part of an answer that breaks off.
+  const error_code body_error = co_await ReadHeldBody();
+  if (body_error)
+    co_return Failed(body_error);
   if (!m_exchange.Claim(*this))
     co_return AttemptResult::kCancelled;
   co_return co_await Relay();
@@ -112,8 +131,7 @@
   RemoveHopByHop(head);
   head.version(11);
   head.erase(http::field::expect);
-  head.set(http::field::host, m_target.address);
-  head.set(kDeadlineHeader, std::to_string(TimeLeft(m_target.deadline, m_engine.Now()).count()));
+  m_dialect.PrepareAttempt(head, m_target.name, m_target.address, TimeLeft(m_target.deadline, m_engine.Now()));
   if (!m_exchange.BodyComplete())
     co_return co_await SendStreamedBody(http::request<http::buffer_body>(std::move(head)));
   http::request<http::span_body<const char>> request(std::move(head));
@@ -172,11 +190,36 @@
   co_return error;
 }
 
-bool Attempt::IsFramed() const {
-  const auto& head = m_response->get();
-  const bool no_body = m_response->is_done();
-  // An answer that ends with the connection cannot be told from one that was cut off.
-  return no_body || head.chunked() || m_response->content_length().has_value();
+asio::awaitable<error_code> Attempt::ReadOwnHead(AnswerKind& kind) {
+  error_code error;
+  for (int foreign = 0; foreign <= kMaxForeignAnswers; ++foreign) {
+    error = co_await ReadHead();
+    if (error)
+      co_return error;
+    kind = m_dialect.Classify(m_exchange.Request().get(), m_response->get());
+    // An answer that ends with the connection leaves none for this request.
+    if (kind != AnswerKind::kForeign || m_response->need_eof())
+      co_return error;
+    error = co_await SkipBody();
+    if (error)
+      co_return error;
+  }
+  co_return error;
+}
+
+asio::awaitable<error_code> Attempt::ReadHeldBody() {
+  error_code error;
+  while (!m_response->is_done() && !error && m_body.size() < kMaxHeldAnswer) {
+    const size_t had = m_body.size();
+    m_body.resize(had + kPieceBytes);
+    m_response->get().body().data = m_body.data() + had;
+    m_response->get().body().size = kPieceBytes;
+    co_await http::async_read_some(m_connection->stream, m_connection->buffer, *m_response, Awaiting(error));
+    if (error == http::error::need_buffer)
+      error = {};
+    m_body.resize(had + kPieceBytes - m_response->get().body().size);
+  }
+  co_return error;
 }
 
 AttemptResult Attempt::Failed(const error_code& error) const {
@@ -189,19 +232,19 @@
   return transport ? AttemptResult::kBroken : AttemptResult::kMalformed;
 }
 
-asio::awaitable<AttemptResult> Attempt::Discard() {
+asio::awaitable<error_code> Attempt::SkipBody() {
   std::array<char, 2'048> scratch{};
   error_code error;
-  for (int pieces = 0; !m_response->is_done() && !error && pieces < 4; ++pieces) {
+  for (int pieces = 0; !m_response->is_done() && !error && pieces < kMaxSkippedPieces; ++pieces) {
     m_response->get().body().data = scratch.data();
     m_response->get().body().size = scratch.size();
     co_await http::async_read_some(m_connection->stream, m_connection->buffer, *m_response, Awaiting(error));
     if (error == http::error::need_buffer)
       error = {};
   }
-  if (!error)
-    ReturnIfClean();
-  co_return AttemptResult::kRefused;
+  if (!error && !m_response->is_done())
+    error = http::error::body_limit;
+  co_return error;
 }
 
 asio::awaitable<AttemptResult> Attempt::Relay() {
@@ -215,17 +258,20 @@
   if (!m_response->is_done())
     co_return co_await RelayBody(answer);
   // No body follows, whatever the header says of its length: HEAD, 204 and 304.
-  answer.body().data = nullptr;
+  const bool has_body = !m_body.empty() || m_response->need_eof() || m_response->chunked();
+  if (has_body) {
+    answer.chunked(false);
+    answer.content_length(m_body.size());
+  }
+  answer.body().data = m_body.empty() ? nullptr : m_body.data();
+  answer.body().size = m_body.size();
   answer.body().more = false;
+  if (m_kept != nullptr && m_body.size() <= kMaxKeptBytes)
+    m_kept->body = m_body;
+  else
+    m_kept.reset();
   http::response_serializer<http::buffer_body> serializer(answer);
-  serializer.split(true);
-  m_exchange.SetAnswerStarted();
-  CallerStream& caller = m_exchange.Caller();
-  error_code error;
-  if (!caller.gone)
-    co_await http::async_write_header(caller.stream, serializer, Awaiting(error));
-  if (error && error != http::error::need_buffer)
-    caller.gone = true;
+  co_await WriteToCaller(serializer);
   m_ended.answer = m_kept;
   co_return AttemptResult::kAnswered;
 }
@@ -235,6 +281,12 @@
   std::array<char, kPieceBytes> piece;
   CallerStream& caller = m_exchange.Caller();
   error_code error;
+  // Larger than what is kept.
+  m_kept.reset();
+  answer.body().data = m_body.data();
+  answer.body().size = m_body.size();
+  answer.body().more = true;
+  co_await WriteToCaller(serializer);
   while (!m_response->is_done()) {
     m_response->get().body().data = piece.data();
     m_response->get().body().size = piece.size();
@@ -249,10 +301,6 @@
     if (error)
       co_return Failed(error);
     const size_t size = piece.size() - m_response->get().body().size;
-    if (m_kept != nullptr && m_kept->body.size() + size <= kMaxKeptBytes)
-      m_kept->body.append(piece.data(), size);
-    else
-      m_kept.reset();
     answer.body().data = size == 0 ? nullptr : piece.data();
     answer.body().size = size;
     answer.body().more = !m_response->is_done();
--- a/libs/entry/src/attempt.h
+++ b/libs/entry/src/attempt.h
@@ -13,12 +13,14 @@
 
 class CallExchange;
 class Engine;
+class HttpDialect;
+enum class AnswerKind : uint8_t;
 class UpstreamPool;
 
 /** One attempt of a call at one endpoint: sends the request, and relays the answer if it is the first. */
 class Attempt {
  public:
-  Attempt(CallExchange& exchange, Engine& engine, UpstreamPool& pool, AttemptTarget target);
+  Attempt(CallExchange& exchange, Engine& engine, UpstreamPool& pool, const HttpDialect& dialect, AttemptTarget target);
 
   /** Runs to the end and reports it to the exchange exactly once. */
   asio::awaitable<void> Run();
@@ -33,11 +35,14 @@
   asio::awaitable<error_code> SendRequest();
   asio::awaitable<error_code> SendStreamedBody(http::request<http::buffer_body> request);
   asio::awaitable<error_code> ReadHead();
-  asio::awaitable<AttemptResult> Discard();
+  /** Reads heads until one answers this request; earlier requests may have left theirs on the connection. */
+  asio::awaitable<error_code> ReadOwnHead(AnswerKind& kind);
+  /** Reads the answer whole, or as much as is held; returns an error if it ended early. */
+  asio::awaitable<error_code> ReadHeldBody();
+  asio::awaitable<error_code> SkipBody();
   asio::awaitable<AttemptResult> Relay();
   asio::awaitable<AttemptResult> RelayBody(http::response<http::buffer_body>& answer);
   asio::awaitable<void> WriteToCaller(http::response_serializer<http::buffer_body>& serializer);
-  bool IsFramed() const;
   AttemptResult Failed(const error_code& error) const;
   void ReturnIfClean();
   void Keep(const http::response<http::buffer_body>& answer);
@@ -45,9 +50,12 @@
   CallExchange& m_exchange;
   Engine& m_engine;
   UpstreamPool& m_pool;
+  const HttpDialect& m_dialect;
   AttemptTarget m_target;
   std::unique_ptr<UpstreamConnection> m_connection;
   std::optional<Response> m_response;
+  /** Answer body read so far. */
+  std::string m_body;
   bool m_cancelled = false;
   bool m_request_sent_whole = false;
   /** Answer kept so far; empty once it has grown too large. */
--- a/libs/entry/src/attempt_target.h
+++ b/libs/entry/src/attempt_target.h
@@ -11,6 +11,8 @@
 /** Where and how one attempt goes. */
 struct AttemptTarget {
   EndpointHandle endpoint;
+  /** Name in the lists. */
+  std::string name;
   std::string address;
   TimePoint deadline;
   std::chrono::milliseconds connect_timeout{};
--- a/libs/entry/src/call_exchange.cc
+++ b/libs/entry/src/call_exchange.cc
@@ -16,16 +16,19 @@
 
 CallExchange::CallExchange(Engine& engine,
                            UpstreamPool& pool,
+                           const HttpDialect& dialect,
                            std::chrono::milliseconds connect_timeout,
                            std::shared_ptr<CallerStream> caller,
                            std::unique_ptr<Parser> request)
     : m_engine(engine),
       m_pool(pool),
+      m_dialect(dialect),
       m_connect_timeout(connect_timeout),
       m_caller(std::move(caller)),
       m_request(std::move(request)),
       m_ended(m_caller->stream.get_executor(), TimePoint::max()),
-      m_hedge(m_caller->stream.get_executor()) {}
+      m_hedge(m_caller->stream.get_executor()),
+      m_ask(m_caller->stream.get_executor()) {}
 
 CallExchange::~CallExchange() {
   if (m_ticket != 0)
@@ -60,6 +63,7 @@
   m_end = end;
   m_ended.cancel();
   m_hedge.cancel();
+  m_ask.cancel();
 }
 
 void CallExchange::CallerGone() {
@@ -97,10 +101,11 @@
   AttemptTarget target;
   target.endpoint = dispatch.endpoint;
   target.address = m_engine.GetState().EndpointRow(dispatch.endpoint).address;
+  target.name = m_engine.GetState().EndpointRow(dispatch.endpoint).name;
   target.deadline = dispatch.deadline;
   target.connect_timeout = m_connect_timeout;
   target.keep_answer = dispatch.keep_answer;
-  auto attempt = std::make_shared<Attempt>(*this, m_engine, m_pool, std::move(target));
+  auto attempt = std::make_shared<Attempt>(*this, m_engine, m_pool, m_dialect, std::move(target));
   m_attempts.push_back(attempt);
   if (dispatch.hedge_at != TimePoint::max())
     ArmHedge(dispatch.hedge_at);
@@ -123,9 +128,17 @@
   });
 }
 
-void CallExchange::OnReject(Reason reason, const std::string& owner_address) {
-  m_reason = reason;
-  m_owner_address = owner_address;
+void CallExchange::OnArmAsk(TimePoint at) {
+  m_ask.expires_at(at);
+  m_ask.async_wait([weak = weak_from_this()](error_code error) {
+    const auto self = weak.lock();
+    if (!error && self != nullptr && self->m_end == End::kPending)
+      self->m_engine.Post(Event::AskDue{self->m_engine.Now(), self->m_call});
+  });
+}
+
+void CallExchange::OnReject(const Effect::Reject& reject) {
+  m_rejection = reject;
   SetEnd(m_answer_started ? End::kCut : End::kRejected);
 }
 
--- a/libs/entry/src/call_exchange.h
+++ b/libs/entry/src/call_exchange.h
@@ -17,6 +17,7 @@
 
 class Attempt;
 class Engine;
+class HttpDialect;
 class UpstreamPool;
 
 /** One request of a caller on its way through the instance: its attempts and its one answer. */
@@ -41,6 +42,7 @@
 
   CallExchange(Engine& engine,
                UpstreamPool& pool,
+               const HttpDialect& dialect,
                std::chrono::milliseconds connect_timeout,
                std::shared_ptr<CallerStream> caller,
                std::unique_ptr<Parser> request);
@@ -64,8 +66,7 @@
   /** When the request had been read. */
   TimePoint ReceivedAt() const { return m_received_at; }
 
-  Reason RejectReason() const { return m_reason; }
-  const std::string& OwnerAddress() const { return m_owner_address; }
+  const Effect::Reject& Rejection() const { return m_rejection; }
   const std::shared_ptr<const RecordedAnswer>& Recorded() const { return m_recorded; }
 
   // For attempts.
@@ -81,7 +82,8 @@
 
   void OnAccepted(CallHandle call) override { m_call = call; }
   void OnDispatch(const Effect::Dispatch& dispatch) override;
-  void OnReject(Reason reason, const std::string& owner_address) override;
+  void OnReject(const Effect::Reject& reject) override;
+  void OnArmAsk(TimePoint at) override;
   void OnRecorded(std::shared_ptr<const RecordedAnswer> answer) override;
 
  private:
@@ -90,6 +92,7 @@
 
   Engine& m_engine;
   UpstreamPool& m_pool;
+  const HttpDialect& m_dialect;
   std::chrono::milliseconds m_connect_timeout;
   std::shared_ptr<CallerStream> m_caller;
   std::unique_ptr<Parser> m_request;
@@ -100,11 +103,11 @@
   uint64_t m_ticket = 0;
   CallHandle m_call;
   End m_end = End::kPending;
-  Reason m_reason = Reason::kNoPlan;
-  std::string m_owner_address;
+  Effect::Reject m_rejection;
   std::shared_ptr<const RecordedAnswer> m_recorded;
   asio::steady_timer m_ended;
   asio::steady_timer m_hedge;
+  asio::steady_timer m_ask;
   std::vector<std::shared_ptr<Attempt>> m_attempts;
   const Attempt* m_claimed_by = nullptr;
   bool m_answer_started = false;
--- a/libs/entry/src/call_sink.h
+++ b/libs/entry/src/call_sink.h
@@ -17,7 +17,9 @@
   virtual ~CallSink() = default;
   virtual void OnAccepted(CallHandle call) = 0;
   virtual void OnDispatch(const Effect::Dispatch& dispatch) = 0;
-  virtual void OnReject(Reason reason, const std::string& owner_address) = 0;
+  virtual void OnReject(const Effect::Reject& reject) = 0;
+  /** Report AskDue at `at`. */
+  virtual void OnArmAsk(TimePoint at) = 0;
   virtual void OnRecorded(std::shared_ptr<const RecordedAnswer> answer) = 0;
 };
 
--- a/libs/entry/src/caller_session.cc
+++ b/libs/entry/src/caller_session.cc
@@ -11,6 +11,8 @@
 #include "base/error.h"
 #include "core/state.h"
 #include "engine.h"
+#include "entry/http_dialect.h"
+#include "lists/caller_limits.h"
 #include "request_facts.h"
 #include "session_limits.h"
 
@@ -20,11 +22,40 @@
 constexpr std::string_view kAdminPrefix = "/sassafras/";
 constexpr int kVersionNotSupported = 505;
 constexpr int kNotImplemented = 501;
+constexpr uint16_t kUnavailable = 503;
+constexpr std::chrono::milliseconds kDefaultRetryAfter{1'000};
+constexpr uint16_t kTooSlow = 408;
+constexpr uint16_t kBodyTooLarge = 413;
+constexpr uint16_t kHeadTooLarge = 431;
 
 std::string_view View(beast::string_view text) {
   return {text.data(), text.size()};
 }
 
+/** How a request head that cannot be read is answered. */
+Rejection HeadRejection(const error_code& error) {
+  Rejection rejection;
+  rejection.detail = fmt::format("request head: {}", error.message());
+  if (error == http::error::header_limit)
+    rejection.status = kHeadTooLarge;
+  else if (error == http::error::body_limit)
+    rejection.status = kBodyTooLarge;
+  else if (error == beast::error::timeout)
+    rejection.status = kTooSlow;
+  return rejection;
+}
+
+std::string_view Text(const http::fields& fields, http::field name) {
+  const auto value = fields[name];
+  return {value.data(), value.size()};
+}
+
+/** Host of a request without its port. */
+std::string_view HostOf(const http::fields& fields) {
+  const std::string_view host = Text(fields, http::field::host);
+  return host.substr(0, host.rfind(':'));
+}
+
 std::string RejectionBody(Reason reason, std::string_view detail) {
   const ReasonInfo& info = InfoOf(reason);
   const std::string remedy(detail.empty() ? info.remedy : detail);
@@ -37,12 +68,16 @@
 CallerSession::CallerSession(asio::ip::tcp::socket socket,
                              Engine& engine,
                              UpstreamPool& pool,
+                             const HttpDialect& dialect,
                              const AdminPages& admin,
+                             SessionKind kind,
                              std::chrono::milliseconds connect_timeout)
     : m_caller(std::make_shared<CallerStream>(std::move(socket))),
       m_engine(engine),
       m_pool(pool),
+      m_dialect(dialect),
       m_admin(admin),
+      m_kind(kind),
       m_connect_timeout(connect_timeout) {}
 
 void CallerSession::Close() {
@@ -68,7 +103,7 @@
   if (m_caller->buffer.size() > 0)
     co_return true;
   m_idle = true;
-  m_caller->stream.expires_after(kIdleCallerLimit);
+  m_caller->stream.expires_after(m_engine.GetState().Limits().idle_timeout);
   error_code error;
   constexpr size_t kReadAhead = 4'096;
   const size_t size = co_await m_caller->stream.async_read_some(m_caller->buffer.prepare(kReadAhead), Awaiting(error));
@@ -78,16 +113,20 @@
 }
 
 asio::awaitable<bool> CallerSession::ServeOne() {
+  const CallerLimits& limits = m_engine.GetState().Limits();
   auto parser = std::make_unique<Parser>();
-  parser->header_limit(kMaxRequestHead);
-  parser->body_limit(boost::none);
-  m_caller->stream.expires_after(kSlowSenderLimit);
+  parser->header_limit(limits.header_bytes);
+  if (limits.body_bytes > 0)
+    parser->body_limit(limits.body_bytes);
+  else
+    parser->body_limit(boost::none);
+  m_caller->stream.expires_after(limits.header_timeout);
   error_code error;
   co_await http::async_read_header(m_caller->stream, m_caller->buffer, *parser, Awaiting(error));
-  if (error == http::error::end_of_stream || error == beast::error::timeout)
+  if (error == http::error::end_of_stream)
     co_return false;
   if (error) {
-    co_await WriteRejection(Reason::kBadRequest, fmt::format("request head: {}", error.message()), {}, false);
+    co_await WriteRejection(*parser, HeadRejection(error), false);
     co_return false;
   }
   const auto& head = parser->get();
@@ -100,13 +139,15 @@
                        false);
     co_return false;
   }
-  if (View(head.target()).starts_with(kAdminPrefix))
+  const bool page = m_kind == SessionKind::kPages ||
+                    (m_kind == SessionKind::kCallsAndPages && View(head.target()).starts_with(kAdminPrefix));
+  if (page)
     co_return co_await ServeAdmin(*parser);
   co_return co_await ServeCall(std::move(parser));
 }
 
 asio::awaitable<bool> CallerSession::ServeAdmin(Parser& parser) {
-  const AdminPages::Page page = m_admin.Render(View(parser.get().target()));
+  const Page page = m_admin.Render(View(parser.get().target()));
   const bool keep_alive = parser.is_done() && parser.get().keep_alive() && !m_closing;
   co_return co_await WriteText(page.status, page.content_type, page.body, keep_alive);
 }
@@ -125,7 +166,7 @@
     body.resize(had + kPiece);
     parser.get().body().data = body.data() + had;
     parser.get().body().size = kPiece;
-    m_caller->stream.expires_after(kSlowSenderLimit);
+    m_caller->stream.expires_after(m_engine.GetState().Limits().header_timeout);
     co_await http::async_read_some(m_caller->stream, m_caller->buffer, parser, Awaiting(error));
     if (error == http::error::need_buffer)
       error = {};
@@ -135,33 +176,38 @@
 }
 
 asio::awaitable<bool> CallerSession::ServeCall(std::unique_ptr<Parser> parser) {
-  const bool keep_alive = parser->get().keep_alive() && !m_closing;
+  // A caller that keeps a connection to a leaving instance would lose it soon.
+  const bool leaving = m_closing || m_engine.GetState().CurrentPhase() == Phase::kLeaving;
+  const bool keep_alive = parser->get().keep_alive() && !leaving;
   const std::string method(View(parser->get().method_string()));
   const std::string target(View(parser->get().target()));
-  auto exchange = std::make_shared<CallExchange>(m_engine, m_pool, m_connect_timeout, m_caller, std::move(parser));
+  auto exchange =
+      std::make_shared<CallExchange>(m_engine, m_pool, m_dialect, m_connect_timeout, m_caller, std::move(parser));
   exchange->SetKeepAlive(keep_alive);
   if (!co_await ReadHeldBody(*exchange)) {
-    co_await WriteRejection(Reason::kBadRequest, "the request body did not arrive whole in time; send it again", {},
-                            false);
+    const Rejection rejection{.detail = "the request body did not arrive whole in time; send it again"};
+    co_await WriteRejection(exchange->Request(), rejection, false);
     co_return false;
   }
+  const bool reusable = keep_alive && exchange->BodyComplete();
   const http::fields& fields = exchange->Request().get();
-  const auto limit = ReadDeadline(fields);
+  const auto limit = m_dialect.ReadDeadline(fields);
   if (!limit.ok()) {
-    co_return co_await WriteRejection(Reason::kBadRequest, MessageOf(limit.status()), {},
-                                      keep_alive && exchange->BodyComplete());
+    const Rejection rejection{.detail = MessageOf(limit.status())};
+    co_return co_await WriteRejection(exchange->Request(), rejection, reusable);
   }
   const auto idempotency = ReadIdempotency(fields, method, PathOf(target));
   if (!idempotency.ok()) {
     const bool missing = fields.find(kOwnerHeader) == fields.end();
-    co_return co_await WriteRejection(missing ? Reason::kOwnerMissing : Reason::kBadOwner,
-                                      MessageOf(idempotency.status()), {}, keep_alive && exchange->BodyComplete());
+    const Rejection rejection{.reason = missing ? Reason::kOwnerMissing : Reason::kBadOwner,
+                              .detail = MessageOf(idempotency.status())};
+    co_return co_await WriteRejection(exchange->Request(), rejection, reusable);
   }
-  const PlanHandle plan = m_engine.GetState().FindPlan(method, PathOf(target));
+  const PlanHandle plan = m_engine.GetState().FindPlan(HostOf(fields), method, PathOf(target));
   if (!plan.IsValid()) {
     const bool ready = m_engine.GetState().CurrentPhase() != Phase::kStarting;
-    co_return co_await WriteRejection(ready ? Reason::kNoPlan : Reason::kNotReady, {}, {},
-                                      keep_alive && exchange->BodyComplete());
+    const Rejection rejection{.reason = ready ? Reason::kNoPlan : Reason::kNotReady};
+    co_return co_await WriteRejection(exchange->Request(), rejection, reusable);
   }
   exchange->Submit(plan, *limit, FingerprintOf(method, target, exchange->Body()), *idempotency);
   if (exchange->BodyComplete())
@@ -177,10 +223,11 @@
     case CallExchange::End::kAnswered:
       co_return exchange.KeepAlive() && exchange.BodyComplete();
     case CallExchange::End::kRejected: {
-      std::string location;
-      if (exchange.RejectReason() == Reason::kRedirectToOwner)
-        location = fmt::format("http://{}{}", exchange.OwnerAddress(), View(exchange.Request().get().target()));
-      co_return co_await WriteRejection(exchange.RejectReason(), {}, std::move(location), keep_alive);
+      const Effect::Reject& reject = exchange.Rejection();
+      Rejection rejection{.reason = reject.reason, .retry_after = reject.retry_after};
+      if (reject.reason == Reason::kRedirectToOwner)
+        rejection.location = fmt::format("http://{}{}", reject.owner_address, View(exchange.Request().get().target()));
+      co_return co_await WriteRejection(exchange.Request(), std::move(rejection), keep_alive);
     }
     case CallExchange::End::kRecorded:
       co_return co_await WriteRecorded(*exchange.Recorded(), head, keep_alive);
@@ -230,22 +277,24 @@
   co_return !error && keep_alive;
 }
 
-asio::awaitable<bool> CallerSession::WriteRejection(Reason reason,
-                                                    std::string detail,
-                                                    std::string location,
+asio::awaitable<bool> CallerSession::WriteRejection(const CallExchange::Parser& request,
+                                                    Rejection rejection,
                                                     bool keep_alive) {
-  const ReasonInfo& info = InfoOf(reason);
-  http::response<http::string_body> answer(static_cast<http::status>(info.http_status), 11);
+  const uint16_t status = rejection.status > 0 ? rejection.status : m_dialect.StatusOf(rejection.reason);
+  http::response<http::string_body> answer(static_cast<http::status>(status), 11);
   answer.set(http::field::content_type, "application/json");
-  answer.set("Sassafras-Outcome", OutcomeName(info.outcome));
-  answer.set("Sassafras-Reason", info.name);
-  constexpr int kServiceUnavailable = 503;
-  if (info.http_status == kServiceUnavailable)
-    answer.set(http::field::retry_after, "1");
-  if (!location.empty())
-    answer.set(http::field::location, location);
+  answer.set("Sassafras-Outcome", OutcomeName(InfoOf(rejection.reason).outcome));
+  answer.set("Sassafras-Reason", InfoOf(rejection.reason).name);
+  m_dialect.MarkAnswer(request.get(), answer);
+  if (!rejection.location.empty())
+    answer.set(http::field::location, rejection.location);
+  if (status == kUnavailable) {
+    const auto retry_after = rejection.retry_after.count() > 0 ? rejection.retry_after : kDefaultRetryAfter;
+    const double seconds = std::chrono::duration<double>(retry_after).count();
+    answer.set(http::field::retry_after, fmt::format("{:.3f}", seconds));
+  }
   answer.keep_alive(keep_alive);
-  answer.body() = RejectionBody(reason, detail);
+  answer.body() = RejectionBody(rejection.reason, rejection.detail);
   answer.prepare_payload();
   m_caller->stream.expires_after(kErrorWriteLimit);
   error_code error;
--- a/libs/entry/src/caller_session.h
+++ b/libs/entry/src/caller_session.h
@@ -7,11 +7,14 @@
 #include "call_exchange.h"
 #include "caller_stream.h"
 #include "http_types.h"
+#include "rejection.h"
+#include "session_kind.h"
 
 namespace sassafras {
 
 class AdminPages;
 class Engine;
+class HttpDialect;
 class UpstreamPool;
 
 /** One caller's connection: reads requests one after the other and answers each. */
@@ -20,7 +23,9 @@
   CallerSession(asio::ip::tcp::socket socket,
                 Engine& engine,
                 UpstreamPool& pool,
+                const HttpDialect& dialect,
                 const AdminPages& admin,
+                SessionKind kind,
                 std::chrono::milliseconds connect_timeout);
 
   asio::awaitable<void> Run();
@@ -37,14 +42,16 @@
   asio::awaitable<bool> FinishCall(CallExchange& exchange, CallExchange::End end);
   asio::awaitable<bool> ReadHeldBody(CallExchange& exchange);
   asio::awaitable<bool> WriteText(int status, std::string content_type, std::string body, bool keep_alive);
-  asio::awaitable<bool> WriteRejection(Reason reason, std::string detail, std::string location, bool keep_alive);
+  asio::awaitable<bool> WriteRejection(const CallExchange::Parser& request, Rejection rejection, bool keep_alive);
   asio::awaitable<bool> WriteRecorded(const RecordedAnswer& answer, bool head, bool keep_alive);
   void WatchCaller(const std::shared_ptr<CallExchange>& exchange);
 
   std::shared_ptr<CallerStream> m_caller;
   Engine& m_engine;
   UpstreamPool& m_pool;
+  const HttpDialect& m_dialect;
   const AdminPages& m_admin;
+  SessionKind m_kind;
   std::chrono::milliseconds m_connect_timeout;
   bool m_idle = false;
   bool m_closing = false;
--- a/libs/entry/src/control_sink.h
+++ b/libs/entry/src/control_sink.h
@@ -9,6 +9,7 @@
  public:
   virtual ~ControlSink() = default;
   virtual void OnEffect(const Effect::SendProbe& effect) = 0;
+  virtual void OnEffect(const Effect::ReadEndpoints& effect) = 0;
   virtual void OnEffect(const Effect::SendGossip& effect) = 0;
   virtual void OnEffect(const Effect::FetchLists& effect) = 0;
   virtual void OnEffect(const Effect::PollStore& effect) = 0;
--- a/libs/entry/src/engine.cc
+++ b/libs/entry/src/engine.cc
@@ -27,6 +27,8 @@
       CarryOut(effect);
   }
   m_running = false;
+  if (m_done)
+    m_done();
 }
 
 uint64_t Engine::Register(CallSink& sink) {
@@ -52,7 +54,9 @@
           else if constexpr (std::is_same_v<Kind, Effect::Dispatch>)
             sink->OnDispatch(effect);
           else if constexpr (std::is_same_v<Kind, Effect::Reject>)
-            sink->OnReject(effect.reason, effect.owner_address);
+            sink->OnReject(effect);
+          else if constexpr (std::is_same_v<Kind, Effect::ArmAsk>)
+            sink->OnArmAsk(effect.at);
           else
             sink->OnRecorded(effect.answer);
         } else {
--- a/libs/entry/src/engine.h
+++ b/libs/entry/src/engine.h
@@ -2,6 +2,8 @@
 
 #include <cstdint>
 #include <deque>
+#include <functional>
+#include <utility>
 
 #include <absl/container/flat_hash_map.h>
 
@@ -25,6 +27,9 @@
   /** Where effects go that concern no call; must be set before the first event. */
   void SetControlSink(ControlSink& sink) { m_control = &sink; }
 
+  /** Called after each Post(), when no event is left. */
+  void SetDoneHook(std::function<void()> hook) { m_done = std::move(hook); }
+
   /**
    * Applies an event and carries out its effects. An event posted while effects are carried out is applied
    * after them.
@@ -50,6 +55,7 @@
   DurationBuckets m_overhead;
   State m_state;
   ControlSink* m_control = nullptr;
+  std::function<void()> m_done;
   Effects m_effects;
   std::deque<Event::Any> m_pending;
   bool m_running = false;
--- a/libs/entry/src/entry_instance.cc
+++ b/libs/entry/src/entry_instance.cc
@@ -2,6 +2,7 @@
 
 #include <chrono>
 #include <functional>
+#include <list>
 #include <random>
 #include <unordered_set>
 #include <utility>
@@ -15,10 +16,15 @@
 #include "base/counters.h"
 #include "base/log.h"
 #include "caller_session.h"
+#include "control_link.h"
 #include "control_sink.h"
 #include "core/gossip_message.h"
 #include "core/state_options.h"
 #include "engine.h"
+#include "entry/http_dialect.h"
+#include "entry/native_dialect.h"
+#include "entry/page_source.h"
+#include "fleet_link.h"
 #include "net/listener.h"
 #include "peers/gossip_socket.h"
 #include "peers/peer_rpc.h"
@@ -35,6 +41,18 @@
 using std::chrono::milliseconds;
 
 constexpr std::chrono::seconds kPoolSweep{5};
+/** Part of the time before the platform kills a stopping process in which it still takes calls. */
+constexpr double kLingerPart = 0.6;
+/** Time kept back from it, so that the process ends by itself. */
+constexpr milliseconds kKillMargin{400};
+
+/** How long a planned stop may take. */
+std::chrono::microseconds StopLimit(const Settings& settings) {
+  if (settings.kill_after.count() == 0)
+    return settings.stop_limit;
+  return std::min(settings.stop_limit,
+                  std::max<std::chrono::microseconds>(kKillMargin, settings.kill_after - kKillMargin));
+}
 
 StateOptions MakeOptions(const Settings& settings, const Clock& clock) {
   StateOptions options;
@@ -52,9 +70,16 @@
   options.fleet_limit = settings.fleet_limit;
   options.record_limit = settings.record_limit;
   options.address_ttl = duration_cast<milliseconds>(settings.address_ttl);
+  if (settings.kill_after.count() > 0)
+    options.linger_limit = duration_cast<milliseconds>(settings.kill_after * kLingerPart);
   options.probing = settings.probing;
   options.hedging = settings.hedging;
   options.late_binding = settings.late_binding;
+  options.retry_ratio = settings.retry_ratio;
+  options.retry_slack = settings.retry_slack;
+  options.ask_first = settings.ask_first;
+  options.gossip_period = duration_cast<milliseconds>(settings.gossip_period);
+  options.discovery = settings.store == StoreKind::kPlatform;
   return options;
 }
 
@@ -63,21 +88,27 @@
 /** Wires the parts of an instance together. */
 class EntryInstance::Impl final : public ControlSink {
  public:
-  Impl(asio::io_context& context, const Settings& settings, const Clock& clock)
+  Impl(asio::io_context& context, const Settings& settings, const Clock& clock, Surroundings surroundings)
       : m_context(context),
         m_settings(settings),
+        m_surroundings(std::move(surroundings)),
         m_engine(MakeOptions(settings, clock), clock),
         m_pool(context.get_executor(), clock),
-        m_store(settings.platform, settings.instance),
         m_gossip(context, [this](GossipMessage message) { OnGossip(std::move(message)); }),
-        m_platform(context, m_engine, m_store, m_store, m_store, m_rpc),
-        m_prober(context.get_executor(), m_engine),
-        m_admin(m_engine, m_settings, m_counters, [this] { RefreshCounters(); }),
-        m_acceptor(context),
+        m_prober(context.get_executor(), m_engine, m_pool, Dialect()),
+        m_admin(m_engine, m_settings, m_counters, m_surroundings.pages.get(), [this] { RefreshCounters(); }),
         m_tick(context),
         m_sweep(context),
         m_stop_limit(context) {
     m_engine.SetControlSink(*this);
+    m_engine.SetDoneHook([this] { OnEventsDone(); });
+    if (m_surroundings.store != nullptr) {
+      m_link = std::make_unique<FleetLink>(context, m_engine, m_surroundings.store);
+      return;
+    }
+    m_store = std::make_unique<EtcdClient>(settings.platform, settings.instance);
+    m_rpc = std::make_unique<PeerRpc>();
+    m_link = std::make_unique<PlatformLink>(context, m_engine, *m_store, *m_store, *m_store, *m_rpc);
   }
 
   absl::Status Start();
@@ -86,18 +117,33 @@
 
   void OnEffect(const Effect::SendProbe& effect) override { m_prober.Send(effect); }
   void OnEffect(const Effect::SendGossip& effect) override { m_gossip.Send(effect.peer_address, *effect.message); }
-  void OnEffect(const Effect::FetchLists& effect) override { m_platform.FetchFrom(effect.peer_address); }
-  void OnEffect(const Effect::PollStore& /*effect*/) override { m_platform.Poll(); }
-  void OnEffect(const Effect::WatchStore& effect) override { m_platform.Watch(effect.on); }
-  void OnEffect(const Effect::RestoreLists& effect) override { m_platform.Restore(effect.generation); }
-  void OnEffect(const Effect::ClaimSeat& effect) override { m_platform.ClaimSeat(effect.seat); }
-  void OnEffect(const Effect::ReleaseSeat& effect) override { m_platform.ReleaseSeat(effect.seat); }
+  void OnEffect(const Effect::FetchLists& effect) override { m_link->OnEffect(effect); }
+  void OnEffect(const Effect::PollStore& effect) override { m_link->OnEffect(effect); }
+  void OnEffect(const Effect::WatchStore& effect) override { m_link->OnEffect(effect); }
+  void OnEffect(const Effect::ReadEndpoints& effect) override { m_link->OnEffect(effect); }
+  void OnEffect(const Effect::RestoreLists& effect) override { m_link->OnEffect(effect); }
+  void OnEffect(const Effect::ClaimSeat& effect) override { m_link->OnEffect(effect); }
+  void OnEffect(const Effect::ReleaseSeat& effect) override { m_link->OnEffect(effect); }
   void OnEffect(const Effect::CloseListeners& effect) override;
 
  private:
-  asio::awaitable<void> Accept();
-  asio::awaitable<void> Serve(asio::ip::tcp::socket socket);
+  /** One listening address. */
+  struct Listener {
+    Listener(asio::io_context& context, SessionKind kind_in) : acceptor(context), kind(kind_in) {}
+    asio::ip::tcp::acceptor acceptor;
+    SessionKind kind;
+  };
+
+  const HttpDialect& Dialect() const {
+    if (m_surroundings.dialect != nullptr)
+      return *m_surroundings.dialect;
+    return m_native_dialect;
+  }
+  absl::Status Listen(const std::string& address, std::string_view setting, SessionKind kind);
+  asio::awaitable<void> Accept(Listener& listener);
+  asio::awaitable<void> Serve(asio::ip::tcp::socket socket, SessionKind kind);
   void ScheduleTick();
+  void OnEventsDone();
   void ScheduleSweep();
   void OnGossip(GossipMessage message);
   void FinishIfIdle();
@@ -105,17 +151,20 @@
 
   asio::io_context& m_context;
   const Settings m_settings;
+  const Surroundings m_surroundings;
+  const NativeDialect m_native_dialect;
   Engine m_engine;
   UpstreamPool m_pool;
-  EtcdClient m_store;
   GossipSocket m_gossip;
-  PeerRpc m_rpc;
-  PlatformLink m_platform;
+  std::unique_ptr<EtcdClient> m_store;
+  std::unique_ptr<PeerRpc> m_rpc;
+  std::unique_ptr<ControlLink> m_link;
   Prober m_prober;
   Counters m_counters;
   AdminPages m_admin;
-  asio::ip::tcp::acceptor m_acceptor;
+  std::list<Listener> m_listeners;
   asio::steady_timer m_tick;
+  TimePoint m_tick_at = TimePoint::max();
   asio::steady_timer m_sweep;
   asio::steady_timer m_stop_limit;
   std::unordered_set<CallerSession*> m_sessions;
@@ -123,27 +172,41 @@
   size_t m_cut = 0;
 };
 
+absl::Status EntryInstance::Impl::Listen(const std::string& address, std::string_view setting, SessionKind kind) {
+  Listener& listener = m_listeners.emplace_back(m_context, kind);
+  absl::Status status = OpenListener(listener.acceptor, address, setting);
+  if (status.ok())
+    asio::co_spawn(m_context, Accept(listener), asio::detached);
+  return status;
+}
+
 absl::Status EntryInstance::Impl::Start() {
-  absl::Status status = OpenListener(m_acceptor, m_settings.listen, "listen");
+  const bool own_pages = m_settings.page_listen.empty();
+  absl::Status status =
+      Listen(m_settings.listen, "listen", own_pages ? SessionKind::kCallsAndPages : SessionKind::kCalls);
+  for (const std::string& address : m_settings.page_listen) {
+    if (status.ok())
+      status = Listen(address, "page_listen", SessionKind::kPages);
+  }
   if (status.ok())
     status = m_gossip.Open(m_settings.peer_listen);
-  if (status.ok())
-    status = m_rpc.Start(m_settings.peer_listen);
+  if (status.ok() && m_rpc != nullptr)
+    status = m_rpc->Start(m_settings.peer_listen);
   if (!status.ok())
     return status;
-  asio::co_spawn(m_context, Accept(), asio::detached);
   ScheduleTick();
   ScheduleSweep();
   Log(LogLevel::kInfo, "started", {{"instance", m_settings.instance}, {"listen", m_settings.listen}});
   return absl::OkStatus();
 }
 
-asio::awaitable<void> EntryInstance::Impl::Accept() {
-  while (m_acceptor.is_open()) {
+asio::awaitable<void> EntryInstance::Impl::Accept(Listener& listener) {
+  asio::ip::tcp::acceptor& acceptor = listener.acceptor;
+  while (acceptor.is_open()) {
     error_code error;
     asio::ip::tcp::socket socket(m_context);
-    co_await m_acceptor.async_accept(socket, Awaiting(error));
-    if (error == asio::error::operation_aborted || !m_acceptor.is_open())
+    co_await acceptor.async_accept(socket, Awaiting(error));
+    if (error == asio::error::operation_aborted || !acceptor.is_open())
       co_return;
     if (error || m_sessions.size() >= m_settings.caller_connections) {
       // Out of descriptors or of room: what waits in the backlog is taken a little later.
@@ -152,12 +215,12 @@
       co_await pause.async_wait(Awaiting(error));
       continue;
     }
-    asio::co_spawn(m_context, Serve(std::move(socket)), asio::detached);
+    asio::co_spawn(m_context, Serve(std::move(socket), listener.kind), asio::detached);
   }
 }
 
-asio::awaitable<void> EntryInstance::Impl::Serve(asio::ip::tcp::socket socket) {
-  const auto session = std::make_shared<CallerSession>(std::move(socket), m_engine, m_pool, m_admin,
+asio::awaitable<void> EntryInstance::Impl::Serve(asio::ip::tcp::socket socket, SessionKind kind) {
+  const auto session = std::make_shared<CallerSession>(std::move(socket), m_engine, m_pool, Dialect(), m_admin, kind,
                                                        duration_cast<milliseconds>(m_settings.connect_timeout));
   m_sessions.insert(session.get());
   co_await session->Run();
@@ -166,7 +229,9 @@
 }
 
 void EntryInstance::Impl::ScheduleTick() {
-  m_tick.expires_after(kTickPeriod);
+  const TimePoint now = m_engine.Now();
+  m_tick_at = m_engine.GetState().NextTick(now);
+  m_tick.expires_at(m_tick_at);
   m_tick.async_wait([this](error_code error) {
     if (error)
       return;
@@ -176,6 +241,12 @@
   });
 }
 
+void EntryInstance::Impl::OnEventsDone() {
+  // Something may have become due before the tick that is waited for.
+  if (m_engine.GetState().NextTick(m_engine.Now()) < m_tick_at)
+    ScheduleTick();
+}
+
 void EntryInstance::Impl::ScheduleSweep() {
   m_sweep.expires_after(kPoolSweep);
   m_sweep.async_wait([this](error_code error) {
@@ -194,7 +265,7 @@
   if (m_engine.GetState().CurrentPhase() == Phase::kLeaving || m_closing)
     return;
   Log(LogLevel::kInfo, "stop_requested", {{"instance", m_settings.instance}});
-  m_stop_limit.expires_after(m_settings.stop_limit);
+  m_stop_limit.expires_after(StopLimit(m_settings));
   m_stop_limit.async_wait([this](error_code error) {
     if (error)
       return;
@@ -203,13 +274,15 @@
     m_context.stop();
   });
   m_engine.Post(Event::StopRequested{m_engine.Now()});
+  m_link->Leave();
 }
 
 void EntryInstance::Impl::OnEffect(const Effect::CloseListeners& /*effect*/) {
   m_closing = true;
   Log(LogLevel::kInfo, "closing", {{"calls_in_progress", std::to_string(m_engine.GetState().CallsInProgress())}});
   error_code ignored;
-  m_acceptor.close(ignored);
+  for (Listener& listener : m_listeners)
+    listener.acceptor.close(ignored);
   for (CallerSession* session : m_sessions)
     session->Close();
 }
@@ -232,8 +305,8 @@
   set("sassafras_gossip_bytes_sent_total", m_gossip.BytesSent());
   set("sassafras_gossip_bytes_received_total", m_gossip.BytesReceived());
   set("sassafras_gossip_malformed_total", m_gossip.Malformed());
-  set("sassafras_platform_calls_total", m_platform.Calls());
-  set("sassafras_platform_failures_total", m_platform.Failures());
+  set("sassafras_platform_calls_total", m_link->Calls());
+  set("sassafras_platform_failures_total", m_link->Failures());
   set("sassafras_probes_sent_total", m_prober.Sent());
   set("sassafras_probes_withdrawn_total", m_prober.Withdrawn());
   set("sassafras_idempotency_records", state.RecordCount());
@@ -241,8 +314,11 @@
   set("sassafras_table_bytes", state.TableBytes());
 }
 
-EntryInstance::EntryInstance(asio::io_context& context, const Settings& settings, const Clock& clock)
-    : m_impl(std::make_unique<Impl>(context, settings, clock)) {}
+EntryInstance::EntryInstance(asio::io_context& context,
+                             const Settings& settings,
+                             const Clock& clock,
+                             Surroundings surroundings)
+    : m_impl(std::make_unique<Impl>(context, settings, clock, std::move(surroundings))) {}
 
 EntryInstance::~EntryInstance() = default;
 
--- /dev/null
+++ b/libs/entry/src/fleet_link.cc
@@ -0,0 +1,195 @@
+#include "fleet_link.h"
+
+#include <algorithm>
+#include <utility>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include "base/error.h"
+#include "base/log.h"
+#include "core/state.h"
+#include "engine.h"
+#include "http_types.h"
+#include "lists/lists.h"
+#include "store/fleet_store.h"
+
+namespace sassafras {
+namespace {
+
+using std::chrono::milliseconds;
+
+/** How long a watch waits for a change of the plans; its end proves that there was none. */
+constexpr milliseconds kWatchWait{4'000};
+/** Bounds of the pause after a watch that failed. */
+constexpr milliseconds kFirstPause{200};
+constexpr milliseconds kMaxPause{1'600};
+constexpr uint32_t kMaxPauseShift = 3;
+/** How often a registration is renewed, and how soon after a failure it is tried again. */
+constexpr std::chrono::seconds kRenewPeriod{12};
+constexpr std::chrono::seconds kRegisterRetry{2};
+
+}  // namespace
+
+FleetLink::FleetLink(asio::io_context& context, Engine& engine, std::shared_ptr<FleetStore> store)
+    : m_context(context), m_engine(engine), m_store(std::move(store)) {}
+
+void FleetLink::NoteResult(const absl::Status& status) {
+  ++m_calls;
+  const ErrorKind kind = status.ok() ? ErrorKind::kInternal : ErrorKindOf(status);
+  const bool silent = kind == ErrorKind::kUnreachable || kind == ErrorKind::kOutcomeUnknown;
+  if (!status.ok())
+    ++m_failures;
+  m_engine.Post(Event::StoreRead{m_engine.Now(), !silent});
+  if (silent != m_reachable)
+    return;
+  m_reachable = !silent;
+  if (silent)
+    Log(LogLevel::kWarning, "store_lost", {{"error", MessageOf(status)}});
+  else
+    Log(LogLevel::kInfo, "store_regained");
+}
+
+asio::awaitable<void> FleetLink::Pause(Duration pause) {
+  asio::steady_timer timer(m_context, pause);
+  error_code ignored;
+  co_await timer.async_wait(Awaiting(ignored));
+}
+
+void FleetLink::TakePlans(const PlansReading& reading) {
+  m_plans_as_of = std::max(m_plans_as_of, reading.as_of);
+  const uint64_t known = m_engine.GetState().Generation();
+  if (reading.generation > known) {
+    Log(LogLevel::kInfo, "plans_in_force",
+        {{"generation", std::to_string(reading.generation)},
+         {"replaces", std::to_string(known)},
+         {"as_of", std::to_string(reading.as_of)},
+         {"plans", std::to_string(reading.lists->plans.size())}});
+    m_engine.Post(Event::ListsReceived{m_engine.Now(), reading.generation, reading.lists});
+  }
+  m_engine.Post(Event::StoreConfirmed{m_engine.Now(), m_engine.GetState().Generation()});
+}
+
+void FleetLink::OnEffect(const Effect::PollStore& /*effect*/) {
+  if (!std::exchange(m_polling, true))
+    asio::co_spawn(m_context, RunPoll(), asio::detached);
+  if (!std::exchange(m_registering, true))
+    asio::co_spawn(m_context, RunRegistration(), asio::detached);
+}
+
+asio::awaitable<void> FleetLink::RunPoll() {
+  if (!m_members_read)
+    co_await ReadMembers();
+  const auto reading = co_await m_store->ReadPlans(Freshness::kLatest);
+  NoteResult(reading.status());
+  if (reading.ok())
+    TakePlans(*reading);
+  else if (m_reachable)
+    Log(LogLevel::kError, "plans_unusable", {{"error", MessageOf(reading.status())}});
+  m_polling = false;
+}
+
+asio::awaitable<void> FleetLink::ReadMembers() {
+  auto members = co_await m_store->ReadMembers();
+  NoteResult(members.status());
+  if (!members.ok())
+    co_return;
+  m_members_read = true;
+  Event::DirectoryReceived event;
+  event.now = m_engine.Now();
+  event.whole = false;
+  event.members = *std::move(members);
+  std::erase_if(event.members, [this](const Member& member) { return member.name == m_engine.GetState().Self().name; });
+  Log(LogLevel::kInfo, "members_read", {{"count", std::to_string(event.members.size())}});
+  m_engine.Post(std::move(event));
+}
+
+void FleetLink::OnEffect(const Effect::FetchLists& effect) {
+  const bool starting = m_engine.GetState().CurrentPhase() == Phase::kStarting;
+  if (starting || std::exchange(m_fetching, true))
+    return;
+  asio::co_spawn(m_context, RunFetch(effect.generation), asio::detached);
+}
+
+asio::awaitable<void> FleetLink::RunFetch(uint64_t generation) {
+  auto reading = co_await m_store->ReadPlans(Freshness::kMayLag);
+  NoteResult(reading.status());
+  if (reading.ok() && reading->generation < generation) {
+    reading = co_await m_store->ReadPlans(Freshness::kLatest);
+    NoteResult(reading.status());
+  }
+  if (reading.ok() && reading->generation > 0)
+    TakePlans(*reading);
+  m_fetching = false;
+}
+
+void FleetLink::OnEffect(const Effect::WatchStore& effect) {
+  m_watch_on = effect.on;
+  if (effect.on && !std::exchange(m_watch_running, true))
+    asio::co_spawn(m_context, RunWatch(), asio::detached);
+}
+
+asio::awaitable<void> FleetLink::RunWatch() {
+  while (m_watch_on) {
+    absl::StatusOr<PlansReading> reading = PlansReading();
+    if (m_plans_as_of == 0)
+      reading = co_await m_store->ReadPlans(Freshness::kLatest);
+    else
+      reading = co_await m_store->AwaitPlans(m_plans_as_of, kWatchWait);
+    NoteResult(reading.status());
+    if (reading.ok() && reading->as_of > 0) {
+      m_watch_failures = 0;
+      TakePlans(*reading);
+      continue;
+    }
+    const Duration pause =
+        std::min<Duration>(kMaxPause, kFirstPause * (1u << std::min(m_watch_failures, kMaxPauseShift)));
+    ++m_watch_failures;
+    co_await Pause(pause);
+  }
+  m_watch_running = false;
+}
+
+void FleetLink::OnEffect(const Effect::ReadEndpoints& effect) {
+  if (!std::exchange(m_reading_endpoints, true))
+    asio::co_spawn(m_context, RunReadEndpoints(effect.whole), asio::detached);
+}
+
+asio::awaitable<void> FleetLink::RunReadEndpoints(bool whole) {
+  absl::StatusOr<EndpointsReading> reading = EndpointsReading();
+  if (whole || m_endpoints_as_of == 0)
+    reading = co_await m_store->ReadEndpoints();
+  else
+    reading = co_await m_store->ReadEndpointChanges(m_endpoints_as_of);
+  m_reading_endpoints = false;
+  NoteResult(reading.status());
+  if (!reading.ok())
+    co_return;
+  m_endpoints_as_of = std::max(m_endpoints_as_of, reading->as_of);
+  Event::EndpointsReceived event;
+  event.now = m_engine.Now();
+  event.as_of = reading->as_of;
+  event.whole = reading->whole;
+  event.changes = std::move(reading->changes);
+  m_engine.Post(std::move(event));
+}
+
+asio::awaitable<void> FleetLink::RunRegistration() {
+  while (!m_leaving) {
+    const absl::Status status = co_await m_store->Register(m_engine.GetState().Self());
+    NoteResult(status);
+    co_await Pause(status.ok() ? Duration(kRenewPeriod) : Duration(kRegisterRetry));
+  }
+}
+
+void FleetLink::Leave() {
+  m_watch_on = false;
+  if (!std::exchange(m_leaving, true))
+    asio::co_spawn(m_context, RunLeave(), asio::detached);
+}
+
+asio::awaitable<void> FleetLink::RunLeave() {
+  NoteResult(co_await m_store->Unregister());
+}
+
+}  // namespace sassafras
--- /dev/null
+++ b/libs/entry/src/fleet_link.h
@@ -0,0 +1,70 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <memory>
+
+#include <absl/status/status.h>
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include "base/clock.h"
+#include "control_link.h"
+
+namespace sassafras {
+
+class Engine;
+class FleetStore;
+struct PlansReading;
+
+/** Reads plans, endpoints and members from a FleetStore, and registers this instance there. */
+class FleetLink final : public ControlLink {
+ public:
+  FleetLink(boost::asio::io_context& context, Engine& engine, std::shared_ptr<FleetStore> store);
+
+  void OnEffect(const Effect::FetchLists& effect) override;
+  void OnEffect(const Effect::PollStore& effect) override;
+  void OnEffect(const Effect::WatchStore& effect) override;
+  void OnEffect(const Effect::ReadEndpoints& effect) override;
+  void OnEffect(const Effect::RestoreLists& /*effect*/) override {}
+  void OnEffect(const Effect::ClaimSeat& /*effect*/) override {}
+  void OnEffect(const Effect::ReleaseSeat& /*effect*/) override {}
+  void Leave() override;
+  uint64_t Calls() const override { return m_calls; }
+  uint64_t Failures() const override { return m_failures; }
+
+ private:
+  boost::asio::awaitable<void> RunPoll();
+  boost::asio::awaitable<void> RunFetch(uint64_t generation);
+  boost::asio::awaitable<void> RunWatch();
+  boost::asio::awaitable<void> RunReadEndpoints(bool whole);
+  boost::asio::awaitable<void> RunRegistration();
+  boost::asio::awaitable<void> RunLeave();
+  boost::asio::awaitable<void> ReadMembers();
+  boost::asio::awaitable<void> Pause(Duration pause);
+  void TakePlans(const PlansReading& reading);
+  /** Counts a call, and tells the reducer whether the store answered. */
+  void NoteResult(const absl::Status& status);
+
+  boost::asio::io_context& m_context;
+  Engine& m_engine;
+  std::shared_ptr<FleetStore> m_store;
+  /** Revision of the store up to which the plans are known. */
+  uint64_t m_plans_as_of = 0;
+  uint64_t m_endpoints_as_of = 0;
+  uint32_t m_watch_failures = 0;
+  bool m_polling = false;
+  bool m_fetching = false;
+  bool m_reading_endpoints = false;
+  bool m_members_read = false;
+  bool m_registering = false;
+  bool m_leaving = false;
+  bool m_watch_on = false;
+  bool m_watch_running = false;
+  bool m_reachable = true;
+  uint64_t m_calls = 0;
+  uint64_t m_failures = 0;
+};
+
+}  // namespace sassafras
--- a/libs/entry/src/platform_link.h
+++ b/libs/entry/src/platform_link.h
@@ -11,6 +11,7 @@
 #include <boost/asio/thread_pool.hpp>
 
 #include "base/clock.h"
+#include "control_link.h"
 #include "core/effect.h"
 #include "net/stream_stop.h"
 #include "store/directory_listing.h"
@@ -29,7 +30,7 @@
 struct ListsDocument;
 
 /** Carries out the effects that concern the lists and the platform. */
-class PlatformLink {
+class PlatformLink final : public ControlLink {
  public:
   PlatformLink(boost::asio::io_context& context,
                Engine& engine,
@@ -37,7 +38,16 @@
                InstanceDirectory& directory,
                SeatLeases& seats,
                PeerRpc& rpc);
-  ~PlatformLink();
+  ~PlatformLink() override;
+
+  void OnEffect(const Effect::FetchLists& effect) override { FetchFrom(effect.peer_address); }
+  void OnEffect(const Effect::PollStore& /*effect*/) override { Poll(); }
+  void OnEffect(const Effect::WatchStore& effect) override { Watch(effect.on); }
+  void OnEffect(const Effect::ReadEndpoints& /*effect*/) override {}
+  void OnEffect(const Effect::RestoreLists& effect) override { Restore(effect.generation); }
+  void OnEffect(const Effect::ClaimSeat& effect) override { ClaimSeat(effect.seat); }
+  void OnEffect(const Effect::ReleaseSeat& effect) override { ReleaseSeat(effect.seat); }
+  void Leave() override {}
 
   void Poll();
   void Watch(bool on);
@@ -46,9 +56,8 @@
   void ReleaseSeat(uint32_t seat);
   void FetchFrom(const std::string& peer_address);
 
-  /** Requests made of the platform and failures of them. */
-  uint64_t Calls() const { return m_calls; }
-  uint64_t Failures() const { return m_failures; }
+  uint64_t Calls() const override { return m_calls; }
+  uint64_t Failures() const override { return m_failures; }
 
  private:
   boost::asio::awaitable<void> RunPoll();
--- a/libs/entry/src/prober.cc
+++ b/libs/entry/src/prober.cc
@@ -7,57 +7,84 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
+#include "core/state.h"
 #include "engine.h"
+#include "entry/http_dialect.h"
 #include "lists/endpoint.h"
 #include "net/http_client.h"
-#include "upstream_headers.h"
+#include "upstream_connection.h"
+#include "upstream_pool.h"
 
 namespace sassafras {
 namespace {
 
 constexpr std::chrono::milliseconds kProbeLimit{500};
+/** A kept connection that was idle for longer is not used. */
+constexpr std::chrono::seconds kMaxIdle{8};
 
 }  // namespace
 
 void Prober::Send(const Effect::SendProbe& probe) {
   const State& state = m_engine.GetState();
-  asio::co_spawn(m_executor,
-                 Run(probe, state.EndpointRow(probe.endpoint).address, std::string(state.ProbePath(probe.endpoint))),
+  const Endpoint& row = state.EndpointRow(probe.endpoint);
+  asio::co_spawn(m_executor, Run(probe, row.name, row.address, std::string(state.ProbePath(probe.endpoint))),
                  asio::detached);
 }
 
-asio::awaitable<void> Prober::Run(Effect::SendProbe probe, std::string address, std::string path) {
-  const auto endpoint = ParseAddress(address);
-  if (!endpoint.ok())
-    co_return;
+asio::awaitable<void> Prober::Run(Effect::SendProbe probe, std::string name, std::string address, std::string path) {
   Event::ProbeEnded ended;
   ended.endpoint = probe.endpoint;
-  beast::tcp_stream stream(m_executor);
-  stream.expires_after(kProbeLimit);
+  ended.call = probe.call;
+  bool reused = false;
+  error_code error = co_await Exchange(name, address, path, probe.not_after, reused, ended);
+  // The endpoint may have closed a kept connection meanwhile: that says nothing of the endpoint.
+  if (error && error != beast::error::timeout && reused)
+    error = co_await Exchange(name, address, path, probe.not_after, reused, ended);
+  ended.now = m_engine.Now();
+  m_engine.Post(ended);
+}
+
+asio::awaitable<error_code> Prober::Exchange(const std::string& name,
+                                             const std::string& address,
+                                             const std::string& path,
+                                             TimePoint not_after,
+                                             bool& reused,
+                                             Event::ProbeEnded& ended) {
   error_code error;
-  co_await stream.async_connect(*endpoint, Awaiting(error));
+  const auto endpoint = ParseAddress(address);
+  if (!endpoint.ok())
+    co_return asio::error::invalid_argument;
+  std::unique_ptr<UpstreamConnection> connection = m_pool.Take(address, kMaxIdle);
+  reused = connection->connected;
+  connection->stream.expires_after(kProbeLimit);
+  if (!reused) {
+    co_await connection->stream.async_connect(*endpoint, Awaiting(error));
+    if (error)
+      co_return error;
+    connection->connected = true;
+    connection->stream.socket().set_option(asio::ip::tcp::no_delay(true), error);
+  }
   http::request<http::empty_body> request(http::verb::get, path, 11);
   request.set(http::field::host, address);
-  request.keep_alive(false);
   // Checked right before the probe leaves: the process may have been paused since it was planned.
-  if (m_engine.Now() >= probe.not_after) {
+  if (m_engine.Now() >= not_after) {
     ++m_withdrawn;
-    co_return;
-  }
-  if (!error) {
-    ++m_sent;
-    co_await http::async_write(stream, request, Awaiting(error));
+    co_return error;
   }
-  beast::flat_buffer buffer;
+  ++m_sent;
+  co_await http::async_write(connection->stream, request, Awaiting(error));
+  if (error)
+    co_return error;
   http::response<http::string_body> answer;
-  if (!error)
-    co_await http::async_read(stream, buffer, answer, Awaiting(error));
-  if (!error) {
-    ended.answered = answer.result() == http::status::ok;
-    ended.load = ReadLoadReport(answer);
-  }
-  ended.now = m_engine.Now();
-  m_engine.Post(ended);
+  co_await http::async_read(connection->stream, connection->buffer, answer, Awaiting(error));
+  if (error)
+    co_return error;
+  ended.load = m_dialect.ReadLoad(answer);
+  ended.load.unhealthy = answer.result() != http::status::ok;
+  ended.answered = (ended.load.present || !ended.load.unhealthy) && !m_dialect.IsFromOther(answer, name);
+  if (answer.keep_alive() && connection->buffer.size() == 0)
+    m_pool.Return(address, std::move(connection));
+  co_return error;
 }
 
 }  // namespace sassafras
--- a/libs/entry/src/prober.h
+++ b/libs/entry/src/prober.h
@@ -3,16 +3,20 @@
 #include <cstdint>
 
 #include "core/effect.h"
+#include "core/event.h"
 #include "http_types.h"
 
 namespace sassafras {
 
 class Engine;
+class HttpDialect;
+class UpstreamPool;
 
 /** Sends probes. A probe is lost rather than late. */
 class Prober {
  public:
-  Prober(asio::any_io_executor executor, Engine& engine) : m_executor(std::move(executor)), m_engine(engine) {}
+  Prober(asio::any_io_executor executor, Engine& engine, UpstreamPool& pool, const HttpDialect& dialect)
+      : m_executor(std::move(executor)), m_engine(engine), m_pool(pool), m_dialect(dialect) {}
 
   void Send(const Effect::SendProbe& probe);
 
@@ -21,10 +25,19 @@
   uint64_t Withdrawn() const { return m_withdrawn; }
 
  private:
-  asio::awaitable<void> Run(Effect::SendProbe probe, std::string address, std::string path);
+  asio::awaitable<void> Run(Effect::SendProbe probe, std::string name, std::string address, std::string path);
+  /** Sends one probe over a kept or a new connection; `reused` tells which. */
+  asio::awaitable<error_code> Exchange(const std::string& name,
+                                       const std::string& address,
+                                       const std::string& path,
+                                       TimePoint not_after,
+                                       bool& reused,
+                                       Event::ProbeEnded& ended);
 
   asio::any_io_executor m_executor;
   Engine& m_engine;
+  UpstreamPool& m_pool;
+  const HttpDialect& m_dialect;
   uint64_t m_sent = 0;
   uint64_t m_withdrawn = 0;
 };
--- a/libs/lists/include/lists/lists.h
+++ b/libs/lists/include/lists/lists.h
@@ -6,6 +6,7 @@
 
 #include <absl/status/statusor.h>
 
+#include "lists/caller_limits.h"
 #include "lists/endpoint.h"
 #include "lists/plan.h"
 #include "lists/service.h"
@@ -17,6 +18,7 @@
   std::vector<Plan> plans;
   std::vector<Service> services;
   std::vector<Endpoint> endpoints;
+  CallerLimits limits;
 };
 
 /**
--- a/libs/lists/include/lists/plan.h
+++ b/libs/lists/include/lists/plan.h
@@ -5,6 +5,8 @@
 #include <string>
 #include <vector>
 
+#include "lists/weighted_service.h"
+
 namespace sassafras {
 
 /** Whether a request of a plan may be run more than once. */
@@ -17,6 +19,8 @@
 struct Plan {
   std::string name;
   std::string customer;
+  /** Host that requests name; empty for any. */
+  std::string host;
   /** Request method, or "*" for any. */
   std::string method;
   std::string path_prefix;
@@ -31,8 +35,12 @@
   std::chrono::microseconds objective_latency{};
   /** Service-level objective: share of good answers, in percent. */
   double objective_success = 99.0;
-  /** Service whose endpoints the plan may use, from `upstreams.toml`. */
+  /** Service whose endpoints the plan may use, from `upstreams.toml`; empty with a split. */
   std::string service;
+  /** Services among which requests are divided by weight; empty if there is only one. */
+  std::vector<WeightedService> split;
+  /** Endpoints that one request may be sent to at most. */
+  uint32_t max_attempts = 4;
   /** Endpoints the plan may use; empty for all of the service. */
   std::vector<std::string> endpoints;
 };
--- a/libs/lists/include/lists/service.h
+++ b/libs/lists/include/lists/service.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <string>
 
 namespace sassafras {
@@ -11,6 +12,8 @@
   double probe_budget = 0.0;
   /** Path of a probe request. */
   std::string probe_path;
+  /** Connections that one endpoint accepts from all entry instances; 0 if each endpoint states its own. */
+  uint32_t connections = 0;
   /** Largest part of an endpoint's slots that long work may take, in percent. */
   double long_share = 50.0;
 };
--- a/libs/peers/src/gossip_codec.cc
+++ b/libs/peers/src/gossip_codec.cc
@@ -38,6 +38,7 @@
   out.setHeartbeat(member.heartbeat);
   out.setEpoch(member.epoch);
   out.setLeaving(member.leaving);
+  out.setStoreUnreachable(!member.store_reachable);
 }
 
 /** Reads a text and refuses one that is too long. */
@@ -56,6 +57,7 @@
   member.heartbeat = in.getHeartbeat();
   member.epoch = in.getEpoch();
   member.leaving = in.getLeaving();
+  member.store_reachable = !in.getStoreUnreachable();
   KJ_REQUIRE(!member.name.empty(), "member without a name");
   return member;
 }
@@ -70,6 +72,34 @@
   return rumor;
 }
 
+EndpointChange ReadEndpointChange(wire::EndpointChange::Reader in) {
+  KJ_REQUIRE(in.getKind() <= wire::EndpointChange::Kind::GONE, "unknown kind of endpoint change");
+  EndpointChange change;
+  change.kind = static_cast<EndpointChange::Kind>(in.getKind());
+  change.row.name = ReadText(in.getName());
+  change.row.service = ReadText(in.getService());
+  change.row.address = ReadText(in.getAddress());
+  change.row.failure_domain = ReadText(in.getFailureDomain());
+  change.row.slots = in.getSlots();
+  change.incarnation = in.getIncarnation();
+  change.revision = in.getRevision();
+  change.warmup = std::min(milliseconds(in.getWarmupMillis()), kMaxLifetime);
+  KJ_REQUIRE(!change.row.name.empty(), "endpoint without a name");
+  return change;
+}
+
+void WriteEndpointChange(const EndpointChange& change, wire::EndpointChange::Builder out) {
+  out.setKind(static_cast<wire::EndpointChange::Kind>(change.kind));
+  out.setName(change.row.name);
+  out.setService(change.row.service);
+  out.setAddress(change.row.address);
+  out.setFailureDomain(change.row.failure_domain);
+  out.setSlots(change.row.slots);
+  out.setIncarnation(change.incarnation);
+  out.setRevision(change.revision);
+  out.setWarmupMillis(static_cast<uint32_t>(change.warmup.count()));
+}
+
 GossipMessage ReadGossip(wire::Gossip::Reader in) {
   GossipMessage message;
   message.sender = ReadMember(in.getSender());
@@ -78,11 +108,16 @@
   message.reply_to = in.getReplyTo();
   constexpr uint64_t kMaxAge = 1'000'000'000;
   message.store_age = milliseconds(std::min<uint64_t>(in.getStoreAgeMillis(), kMaxAge));
-  const size_t items =
-      in.getRumors().size() + in.getLoads().size() + in.getMembers().size() + in.getHeartbeats().size();
+  message.endpoints_digest = in.getEndpointsDigest();
+  message.endpoints_as_of = in.getEndpointsAsOf();
+  message.endpoints_age = milliseconds(std::min<uint64_t>(in.getEndpointsAgeMillis(), kMaxAge));
+  const size_t items = in.getEndpointChanges().size() + in.getRumors().size() + in.getLoads().size() +
+                       in.getMembers().size() + in.getHeartbeats().size();
   KJ_REQUIRE(items <= kMaxItems, "too many items");
   for (const wire::Rumor::Reader rumor : in.getRumors())
     message.rumors.push_back(ReadRumor(rumor));
+  for (const wire::EndpointChange::Reader change : in.getEndpointChanges())
+    message.endpoint_changes.push_back(ReadEndpointChange(change));
   for (const wire::EndpointLoad::Reader load : in.getLoads())
     message.loads.push_back({load.getEndpoint(), load.getInFlight(), milliseconds(load.getAgeMillis())});
   for (const wire::Member::Reader member : in.getMembers())
@@ -102,6 +137,12 @@
   gossip.setAsk(message.ask);
   gossip.setReplyTo(message.reply_to);
   gossip.setStoreAgeMillis(static_cast<uint64_t>(std::max<int64_t>(0, message.store_age.count())));
+  gossip.setEndpointsDigest(message.endpoints_digest);
+  gossip.setEndpointsAsOf(message.endpoints_as_of);
+  gossip.setEndpointsAgeMillis(static_cast<uint64_t>(std::max<int64_t>(0, message.endpoints_age.count())));
+  auto changes = gossip.initEndpointChanges(static_cast<uint32_t>(message.endpoint_changes.size()));
+  for (uint32_t i = 0; i < changes.size(); ++i)
+    WriteEndpointChange(message.endpoint_changes[i], changes[i]);
   auto rumors = gossip.initRumors(static_cast<uint32_t>(message.rumors.size()));
   for (uint32_t i = 0; i < rumors.size(); ++i) {
     const GossipMessage::Rumor& rumor = message.rumors[i];
--- a/libs/peers/src/peer.capnp
+++ b/libs/peers/src/peer.capnp
@@ -14,6 +14,7 @@
   heartbeat @5 :UInt32;
   epoch @6 :UInt32;
   leaving @7 :Bool;
+  storeUnreachable @8 :Bool;
 }
 
 struct Rumor {
@@ -41,6 +42,23 @@
   heartbeat @1 :UInt32;
 }
 
+struct EndpointChange {
+  enum Kind {
+    serving @0;
+    leaving @1;
+    gone @2;
+  }
+  kind @0 :Kind;
+  name @1 :Text;
+  service @2 :Text;
+  address @3 :Text;
+  failureDomain @4 :Text;
+  slots @5 :UInt32;
+  incarnation @6 :UInt64;
+  revision @7 :UInt64;
+  warmupMillis @8 :UInt32;
+}
+
 struct Gossip {
   sender @0 :Member;
   generation @1 :UInt64;
@@ -51,6 +69,10 @@
   ask @6 :UInt64;
   replyTo @7 :UInt64;
   heartbeats @8 :List(Heartbeat);
+  endpointsDigest @9 :UInt64;
+  endpointsAsOf @10 :UInt64;
+  endpointsAgeMillis @11 :UInt64;
+  endpointChanges @12 :List(EndpointChange);
 }
 
 struct TextDelta {
--- a/libs/settings/include/settings/settings.h
+++ b/libs/settings/include/settings/settings.h
@@ -10,6 +10,14 @@
 
 namespace sassafras {
 
+/** Ways to speak to the platform's store. */
+enum class StoreKind : uint8_t {
+  /** The etcd v3 JSON gateway. */
+  kEtcd,
+  /** The users' platform; see platform/. */
+  kPlatform,
+};
+
 /** Settings of one entry instance, from its TOML file. */
 struct Settings {
   /** Name of the instance, unique in the fleet. */
@@ -21,6 +29,19 @@
   std::string peer_listen;
   /** Addresses of the platform's key-value service: IP:port. */
   std::vector<std::string> platform;
+  /** How the platform's store is spoken to. */
+  StoreKind store = StoreKind::kEtcd;
+  /** Region of the failure domain; empty if there is only one. */
+  std::string region;
+  /** Further addresses for health checks, for address answers and for counters; empty for none. */
+  std::vector<std::string> page_listen;
+  /** Extra attempts that the fleet may make for each call of a service, and beyond that in one window. */
+  double retry_ratio = 0;
+  double retry_slack = 0;
+  /** Whether endpoints are asked for their load before each attempt. */
+  bool ask_first = false;
+  /** Pause between rounds of gossip. */
+  std::chrono::microseconds gossip_period{};
   /** Peers to ask while the platform is down: IP:port of their peer_listen. */
   std::vector<std::string> seed_peers;
   /** Name of the selection rule; see docs/OPERATORS.md. */
@@ -31,6 +52,8 @@
   std::chrono::microseconds connect_timeout{};
   /** Longest time a planned stop waits for requests in progress. */
   std::chrono::microseconds stop_limit{};
+  /** When the platform kills a process that it asked to stop; 0 if it does not. */
+  std::chrono::microseconds kill_after{};
   /** Requests that may wait for an endpoint, for each service. */
   uint32_t queue_limit = 0;
   /** Largest caller connections at once. */
--- a/libs/settings/src/settings.cc
+++ b/libs/settings/src/settings.cc
@@ -16,6 +16,9 @@
 constexpr microseconds kDefaultAddressTtl = 5s;
 constexpr microseconds kDefaultConnectTimeout = 250ms;
 constexpr microseconds kDefaultStopLimit = 60s;
+constexpr microseconds kDefaultGossipPeriod = 250ms;
+constexpr double kDefaultRetryRatio = 0.2;
+constexpr double kDefaultRetrySlack = 480;
 constexpr int64_t kDefaultQueueLimit = 512;
 constexpr int64_t kDefaultCallerConnections = 4'096;
 constexpr int64_t kDefaultFleetLimit = 24;
@@ -34,10 +37,18 @@
   settings.listen = reader.String("listen");
   settings.peer_listen = reader.String("peer_listen");
   settings.platform = reader.StringsOr("platform");
+  settings.store = reader.Word("store", {"etcd", "platform"}, 0) == 0 ? StoreKind::kEtcd : StoreKind::kPlatform;
+  settings.region = reader.StringOr("region", "");
+  settings.page_listen = reader.StringsOr("page_listen");
+  settings.retry_ratio = reader.NumberOr("retry_ratio", 0, 10, kDefaultRetryRatio);
+  settings.retry_slack = reader.NumberOr("retry_slack", 0, 1'000'000, kDefaultRetrySlack);
+  settings.ask_first = reader.Word("ask_first", {"on", "off"}, 1) == 0;
+  settings.gossip_period = reader.DurationOr("gossip_period", 10ms, 10s, kDefaultGossipPeriod);
   settings.seed_peers = reader.StringsOr("seed_peers");
   settings.selection = kSelections[reader.Word("selection", kSelections, kDefaultSelection)];
   settings.address_ttl = reader.DurationOr("address_ttl", 100ms, 10min, kDefaultAddressTtl);
   settings.connect_timeout = reader.DurationOr("connect_timeout", 1ms, 10s, kDefaultConnectTimeout);
+  settings.kill_after = reader.DurationOr("kill_after", 0s, 60min, 0s);
   settings.stop_limit = reader.DurationOr("stop_limit", 1s, 60min, kDefaultStopLimit);
   settings.queue_limit = static_cast<uint32_t>(reader.IntegerOr("queue_limit", 0, 1'000'000, kDefaultQueueLimit));
   settings.caller_connections =
--- /dev/null
+++ b/libs/store/include/store/fleet_store.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <vector>
+
+#include <absl/status/status.h>
+#include <absl/status/statusor.h>
+#include <boost/asio/awaitable.hpp>
+
+#include "core/member.h"
+#include "store/endpoints_reading.h"
+#include "store/plans_reading.h"
+
+namespace sassafras {
+
+/** How fresh a reading has to be. */
+enum class Freshness : uint8_t {
+  /** Nothing that was acknowledged before the read is missing. */
+  kLatest,
+  /** May lag behind; much cheaper. */
+  kMayLag,
+};
+
+/**
+ * A platform store that holds the operators' plans, the endpoints and the entry instances, and tells of changes.
+ *
+ * Every call may fail although it took effect. A status of kOutcomeUnknown or kUnreachable says that the store did
+ * not answer; other statuses are answers.
+ */
+class FleetStore {
+ public:
+  virtual ~FleetStore() = default;
+
+  virtual boost::asio::awaitable<absl::StatusOr<PlansReading>> ReadPlans(Freshness freshness) = 0;
+  /** Waits until the plans change after revision `after`, or `wait` has passed; generation 0 if they did not. */
+  virtual boost::asio::awaitable<absl::StatusOr<PlansReading>> AwaitPlans(uint64_t after,
+                                                                          std::chrono::milliseconds wait) = 0;
+  virtual boost::asio::awaitable<absl::StatusOr<EndpointsReading>> ReadEndpoints() = 0;
+  /** What changed after a revision; all endpoints if the store no longer knows. Waits a little for a change. */
+  virtual boost::asio::awaitable<absl::StatusOr<EndpointsReading>> ReadEndpointChanges(uint64_t after) = 0;
+  /** The registered entry instances; the answer may lag. */
+  virtual boost::asio::awaitable<absl::StatusOr<std::vector<Member>>> ReadMembers() = 0;
+  /** Registers this instance, or renews its registration. */
+  virtual boost::asio::awaitable<absl::Status> Register(const Member& self) = 0;
+  /** Ends the registration of this instance. */
+  virtual boost::asio::awaitable<absl::Status> Unregister() = 0;
+};
+
+}  // namespace sassafras
