--- a/daemons/sassafrasd/main.cc
+++ b/daemons/sassafrasd/main.cc
@@ -69,7 +69,16 @@
   return surroundings;
 }
 
-int Run(const sassafras::Settings& settings) {
+/** Reads the settings file again; a file that cannot be used changes nothing. */
+void Reload(const std::string& path, sassafras::EntryInstance& instance) {
+  const auto settings = sassafras::LoadSettings(path);
+  if (settings.ok())
+    instance.Reload(*settings);
+  else
+    sassafras::Log(sassafras::LogLevel::kError, "settings_unusable", {{"error", sassafras::MessageOf(settings.status())}});
+}
+
+int Run(const sassafras::Settings& settings, const std::string& path) {
   // A peer that closes its connection must not end the process.
   std::signal(SIGPIPE, SIG_IGN);
   boost::asio::io_context context(1);
@@ -79,12 +88,15 @@
     fmt::print(stderr, "sassafrasd: {}\n", sassafras::MessageOf(status));
     return kExitSockets;
   }
-  boost::asio::signal_set signals(context, SIGTERM, SIGINT);
+  boost::asio::signal_set signals(context, SIGTERM, SIGINT, SIGHUP);
   const std::function<void()> wait = [&] {
-    signals.async_wait([&](boost::system::error_code error, int /*signal*/) {
+    signals.async_wait([&](boost::system::error_code error, int signal) {
       if (error)
         return;
-      instance.RequestStop();
+      if (signal == SIGHUP)
+        Reload(path, instance);
+      else
+        instance.RequestStop();
       // A second signal is taken too, and cuts nothing off.
       wait();
     });
@@ -113,5 +125,5 @@
     fmt::print("{}: settings are valid\n", arguments.settings_path);
     return 0;
   }
-  return Run(*settings);
+  return Run(*settings, arguments.settings_path);
 }
--- a/libs/core/include/core/effect.h
+++ b/libs/core/include/core/effect.h
@@ -65,6 +65,8 @@
   struct ReadEndpoints {
     /** All of them, or only what changed since the last read. */
     bool whole = false;
+    /** How long to wait for a change. */
+    std::chrono::milliseconds wait{};
   };
   struct SendGossip {
     std::string peer_address;
--- a/libs/core/include/core/event.h
+++ b/libs/core/include/core/event.h
@@ -151,6 +151,14 @@
   struct Tick {
     TimePoint now;
   };
+  /** Settings that can change while the instance runs; see StateOptions. */
+  struct SettingsChanged {
+    TimePoint now;
+    double retry_ratio = 0;
+    double retry_slack = 0;
+    std::chrono::milliseconds address_ttl{};
+    std::chrono::milliseconds linger_limit{};
+  };
   struct StopRequested {
     TimePoint now;
   };
@@ -170,6 +178,7 @@
                            SeatGranted,
                            SeatRefused,
                            Tick,
+                           SettingsChanged,
                            StopRequested>;
 };
 
--- a/libs/core/src/asking.cc
+++ b/libs/core/src/asking.cc
@@ -43,7 +43,7 @@
 constexpr float kUnknown = std::numeric_limits<float>::infinity();
 
 float UsualLatency(Parts& parts, const CallState& call) {
-  const float latency = parts.At(parts.BranchOf(call).service).LatencyFor(parts.At(call.plan).row.work);
+  const float latency = parts.ServiceOf(call).LatencyFor(parts.At(call.plan).row.work);
   return latency > 0 ? latency : kFirstLatencyUs;
 }
 
@@ -91,7 +91,7 @@
 /** Asks up to `count` more endpoints, drawn at random; with `local`, only those of the same failure domain. */
 void AskSome(Parts& parts, CallHandle handle, size_t count, bool local, TimePoint now, Effects& effects) {
   CallState& call = *parts.calls.Find(handle);
-  const auto& candidates = parts.BranchOf(call).candidates;
+  const auto& candidates = parts.CandidatesOf(call);
   const size_t start = parts.random() % candidates.size();
   for (size_t step = 0; step < candidates.size() && count > 0 && call.asked_count < CallState::kMaxAsked; ++step) {
     // A random draw first, then the rest in order, so that a few eligible ones among many are found too.
@@ -130,7 +130,7 @@
 /** An endpoint for a call whose questions nobody answered: the one with the least work of this instance. */
 EndpointHandle Unasked(Parts& parts, const CallState& call, TimePoint now) {
   EndpointHandle best;
-  const auto& candidates = parts.BranchOf(call).candidates;
+  const auto& candidates = parts.CandidatesOf(call);
   const size_t start = candidates.empty() ? 0 : parts.random() % candidates.size();
   for (size_t step = 0; step < candidates.size(); ++step) {
     const EndpointHandle endpoint = candidates[(start + step) % candidates.size()];
@@ -190,8 +190,9 @@
   CallState& call = *parts.calls.Find(handle);
   call.asked_count = 0;
   call.answers_due = 0;
+  call.asking_for_hedge = false;
   call.asked_at = now;
-  if (parts.BranchOf(call).candidates.empty())
+  if (parts.CandidatesOf(call).empty())
     return false;
   AskSome(parts, handle, kAskedAtOnce, true, now, effects);
   if (call.asked_count < kAskedAtOnce - 1)
--- a/libs/core/src/attempts.cc
+++ b/libs/core/src/attempts.cc
@@ -49,7 +49,7 @@
   // An attempt of which no byte left is none that an endpoint saw.
   if (result == AttemptResult::kNotSent || result == AttemptResult::kWithdrawn)
     return true;
-  ServiceState& service = parts.At(parts.BranchOf(call).service);
+  ServiceState& service = parts.ServiceOf(call);
   return service.retry_budget.Spend(kAttemptCost) || service.hedge_budget.Spend(kAttemptCost);
 }
 
@@ -74,7 +74,7 @@
   const float usual = micros / call.slowdowns[static_cast<size_t>(attempt - call.tried.begin())];
   PlanState& plan = parts.At(call.plan);
   UpdateAverage(parts.At(endpoint).latency_us, usual);
-  UpdateAverage(parts.At(parts.BranchOf(call).service).LatencyFor(plan.row.work), usual);
+  UpdateAverage(parts.ServiceOf(call).LatencyFor(plan.row.work), usual);
   UpdateP95(plan.p95_us, micros);
 }
 
--- a/libs/core/src/call_state.h
+++ b/libs/core/src/call_state.h
@@ -23,8 +23,6 @@
   uint8_t attempts = 0;
   /** Attempts whose end was not reported yet. */
   uint8_t outstanding = 0;
-  /** Position in the plan's branches. */
-  uint8_t branch = 0;
   uint8_t asked_count = 0;
   uint8_t answers_due = 0;
   /** Whether endpoints are being asked for an attempt beside one that runs. */
@@ -34,6 +32,8 @@
   /** Whether an attempt ended without telling whether the request ran. */
   bool may_have_run = false;
   PlanHandle plan;
+  /** The service that the call goes to, of those that the plan may use. */
+  ServiceHandle service;
   uint64_t ticket = 0;
   uint64_t fingerprint = 0;
   TimePoint arrived;
--- a/libs/core/src/calls.cc
+++ b/libs/core/src/calls.cc
@@ -43,8 +43,7 @@
 /** Sends the call on, or lets it wait behind calls that wait already. */
 void StartOrEnqueue(Parts& parts, CallHandle handle, TimePoint now, Effects& effects) {
   const CallState& call = *parts.calls.Find(handle);
-  const ServiceHandle service = parts.BranchOf(call).service;
-  const bool others_wait = !parts.At(service).QueueFor(parts.At(call.plan).row.work).Empty();
+  const bool others_wait = !parts.ServiceOf(call).QueueFor(parts.At(call.plan).row.work).Empty();
   if (others_wait || !TryDispatch(parts, handle, now, effects))
     Enqueue(parts, handle, now, effects);
 }
@@ -116,7 +115,7 @@
 }
 
 /** Divides requests by weight: the branch that is owed most comes next. */
-uint8_t ChooseBranch(PlanState& plan) {
+PlanBranch& ChooseBranch(PlanState& plan) {
   double total = 0;
   size_t best = 0;
   for (size_t i = 0; i < plan.branches.size(); ++i) {
@@ -127,7 +126,7 @@
       best = i;
   }
   plan.branches[best].credit -= total;
-  return static_cast<uint8_t>(best);
+  return plan.branches[best];
 }
 
 /** A call counts for each service that it is allowed to go to. */
@@ -154,8 +153,8 @@
     RejectCounted(parts, event, Reason::kQuarantined, effects);
     return;
   }
-  const uint8_t branch = ChooseBranch(plan);
-  if (plan.branches[branch].candidates.empty()) {
+  const PlanBranch& branch = ChooseBranch(plan);
+  if (branch.candidates.empty()) {
     RejectCounted(parts, event, Reason::kNoEndpoint, effects);
     return;
   }
@@ -168,7 +167,7 @@
   EarnBudgets(parts, plan);
   const CallHandle handle = Accept(parts, event, effects);
   parts.calls.Find(handle)->record = record;
-  parts.calls.Find(handle)->branch = branch;
+  parts.calls.Find(handle)->service = branch.service;
   StartOrEnqueue(parts, handle, event.now, effects);
 }
 
--- a/libs/core/src/control.cc
+++ b/libs/core/src/control.cc
@@ -122,7 +122,7 @@
   Poll(parts, now, effects);
   AskPeers(parts, now, effects);
   if (parts.options.discovery)
-    effects.push_back(Effect::ReadEndpoints{false});
+    effects.push_back(Effect::ReadEndpoints{});
 }
 
 void RefreshRoles(Parts& parts, TimePoint now, Effects& effects) {
@@ -131,7 +131,7 @@
   parts.quarantine.Expire(now);
   parts.rumors.Expire(now);
   parts.records.Expire(parts.EpochAt(now));
-  parts.endpoints.ReclaimInactive();
+  parts.endpoints.ReclaimInactive(now);
   RefreshWatch(parts, now, effects);
   RefreshPoll(parts, now, effects);
   RefreshSeats(parts, now, effects);
@@ -280,6 +280,17 @@
   return std::max(next, now);
 }
 
+void OnSettingsChanged(Parts& parts, const Event::SettingsChanged& event) {
+  StateOptions& options = parts.options;
+  const bool budgets_change = event.retry_ratio != options.retry_ratio || event.retry_slack != options.retry_slack;
+  options.retry_ratio = event.retry_ratio;
+  options.retry_slack = event.retry_slack;
+  options.address_ttl = event.address_ttl;
+  options.linger_limit = event.linger_limit;
+  if (budgets_change)
+    ResetBudgets(parts);
+}
+
 void OnStopRequested(Parts& parts, const Event::StopRequested& event, Effects& effects) {
   if (parts.phase == Phase::kLeaving || parts.phase == Phase::kClosing)
     return;
--- a/libs/core/src/control.h
+++ b/libs/core/src/control.h
@@ -20,6 +20,7 @@
 void OnSeatRefused(Parts& parts, const Event::SeatRefused& event, Effects& effects);
 void BecomeReady(Parts& parts);
 void OnTick(Parts& parts, const Event::Tick& event, Effects& effects);
+void OnSettingsChanged(Parts& parts, const Event::SettingsChanged& event);
 void OnStopRequested(Parts& parts, const Event::StopRequested& event, Effects& effects);
 
 /** When Event::Tick is due next. */
--- a/libs/core/src/discovery.cc
+++ b/libs/core/src/discovery.cc
@@ -20,11 +20,14 @@
 /** Time for entries that lapsed while the store was away to come back. */
 constexpr milliseconds kLapseGrace{2'000};
 /** Instances that read the store's changes for all. */
-constexpr size_t kReaders = 2;
+constexpr size_t kReaders = 3;
 constexpr uint64_t kReaderPurpose = 0x72656164;
 constexpr milliseconds kReadPeriod{900};
+/** How long a reader waits for a change, and the pause after it saw one. */
+constexpr milliseconds kChangeWait{2'000};
+constexpr milliseconds kPauseAfterChange{150};
 /** Age of the newest proof from which instances that are no readers read too. */
-constexpr milliseconds kProofStale{2'500};
+constexpr milliseconds kProofStale{3'500};
 /** How long peers may hold other endpoints before an instance reads the store itself. */
 constexpr milliseconds kDiffersLimit{1'000};
 /** Bounds of the pause between reads of a store that does not answer. */
@@ -58,9 +61,10 @@
   return parts.members.RankForReaching(kReaderPurpose, parts.self_hash, now) < kReaders;
 }
 
-/** Whether this instance should read the store now; `whole` tells how. */
-bool IsReadDue(Parts& parts, TimePoint now, bool& whole) {
+/** Whether this instance should read the store now; `read` tells how. */
+bool IsReadDue(Parts& parts, TimePoint now, Effect::ReadEndpoints& read) {
   EndpointFeed& feed = parts.feed;
+  bool& whole = read.whole;
   whole = feed.as_of == 0;
   const Duration since = now - feed.last_read;
   if (feed.failures > 0 && since < PauseAfterFailures(feed.failures))
@@ -73,8 +77,10 @@
   }
   if (since < kReadPeriod)
     return false;
-  if (IsReader(parts, now))
+  if (IsReader(parts, now)) {
+    read.wait = kChangeWait;
     return true;
+  }
   if (now - feed.confirmed_at < kProofStale)
     return false;
   // Nobody has news: a few at random try, not all at once.
@@ -97,6 +103,8 @@
   const bool first = feed.as_of == 0;
   feed.as_of = std::max(feed.as_of, event.as_of);
   feed.confirmed_at = event.now;
+  // The next change may come at any time.
+  feed.last_read = event.now - kReadPeriod + kPauseAfterChange;
   if (event.whole)
     feed.differs_since = {};
   if (first && parts.lists.generation > 0)
@@ -148,15 +156,19 @@
     return;
   if (parts.feed.ExpireGone(now))
     ApplyDiscovered(parts, now);
-  bool whole = false;
-  if (parts.phase == Phase::kClosing || !IsReadDue(parts, now, whole))
+  Effect::ReadEndpoints read;
+  if (parts.phase == Phase::kClosing || !IsReadDue(parts, now, read))
     return;
   parts.feed.last_read = now;
-  effects.push_back(Effect::ReadEndpoints{whole});
+  effects.push_back(read);
 }
 
 TimePoint NextDiscovery(const Parts& parts) {
-  return parts.options.discovery ? parts.feed.NextExpiry() : TimePoint::max();
+  if (!parts.options.discovery)
+    return TimePoint::max();
+  const TimePoint read = parts.feed.last_read + kReadPeriod;
+  const bool read_soon = parts.feed.as_of > 0 && parts.feed.failures == 0 && read > parts.last_tick;
+  return std::min(parts.feed.NextExpiry(), read_soon ? read : TimePoint::max());
 }
 
 }  // namespace sassafras
--- a/libs/core/src/dispatch.cc
+++ b/libs/core/src/dispatch.cc
@@ -86,7 +86,7 @@
 
 bool Hedge(Parts& parts, CallHandle handle, EndpointHandle endpoint, TimePoint now, Effects& effects) {
   CallState& call = *parts.calls.Find(handle);
-  if (!parts.At(parts.BranchOf(call).service).hedge_budget.Spend(1.0))
+  if (!parts.ServiceOf(call).hedge_budget.Spend(1.0))
     return false;
   call.hedged = true;
   ++parts.At(call.plan).totals.hedges;
@@ -111,7 +111,7 @@
 void Enqueue(Parts& parts, CallHandle handle, TimePoint now, Effects& effects) {
   CallState& call = *parts.calls.Find(handle);
   PlanState& plan = parts.At(call.plan);
-  ServiceState& service = parts.At(parts.BranchOf(call).service);
+  ServiceState& service = parts.ServiceOf(call);
   WaitQueue& queue = service.QueueFor(plan.row.work);
   if (queue.Size() >= parts.options.queue_limit) {
     const auto evicted = queue.EvictBelow(plan.row.priority);
--- a/libs/core/src/endpoint_state.h
+++ b/libs/core/src/endpoint_state.h
@@ -25,6 +25,8 @@
   float failure_rate = 0;
   uint16_t consecutive_failures = 0;
   uint8_t ejections = 0;
+  /** Since when the row is not in the lists. */
+  TimePoint inactive_since{};
   /** Whether the row is in the lists now. */
   bool active = false;
   bool leaving = false;
--- a/libs/core/src/endpoint_table.cc
+++ b/libs/core/src/endpoint_table.cc
@@ -1,10 +1,17 @@
 #include "endpoint_table.h"
 
 #include <algorithm>
+#include <chrono>
 
 #include "base/hash.h"
 
 namespace sassafras {
+namespace {
+
+/** How long a position that is no longer listed keeps its meaning. */
+constexpr std::chrono::seconds kReclaimDelay{30};
+
+}  // namespace
 
 EndpointHandle EndpointTable::Upsert(const Endpoint& row, ServiceHandle service, TimePoint now, bool ramp) {
   const uint64_t name_hash = Hash64(row.name);
@@ -40,16 +47,20 @@
   return handle;
 }
 
-void EndpointTable::DeactivateAll() {
-  for (EndpointState& state : m_states)
+void EndpointTable::DeactivateAll(TimePoint now) {
+  for (EndpointState& state : m_states) {
+    if (state.active)
+      state.inactive_since = now;
     state.active = false;
+  }
 }
 
-void EndpointTable::ReclaimInactive() {
+void EndpointTable::ReclaimInactive(TimePoint now) {
   for (uint32_t index = 0; index < m_states.size(); ++index) {
     EndpointState& state = m_states[index];
     const bool retired = !state.active && state.in_flight == 0 && state.service.IsValid();
-    if (!retired)
+    // Calls that have just asked or tried the endpoint still refer to its position.
+    if (!retired || now - state.inactive_since < kReclaimDelay)
       continue;
     if (state.name_hash != 0)
       m_by_hash.erase(state.name_hash);
--- a/libs/core/src/endpoint_table.h
+++ b/libs/core/src/endpoint_table.h
@@ -20,9 +20,9 @@
   /** Adds the endpoint or updates its row; returns its position. */
   EndpointHandle Upsert(const Endpoint& row, ServiceHandle service, TimePoint now, bool ramp);
   /** Marks all rows inactive before lists are applied. */
-  void DeactivateAll();
-  /** Frees positions that are inactive and have no call in progress. */
-  void ReclaimInactive();
+  void DeactivateAll(TimePoint now);
+  /** Frees positions that have been inactive for a while and have no call in progress. */
+  void ReclaimInactive(TimePoint now);
 
   EndpointState& operator[](EndpointHandle handle) { return m_states[handle.Index()]; }
   const EndpointState& operator[](EndpointHandle handle) const { return m_states[handle.Index()]; }
--- a/libs/core/src/lists_apply.cc
+++ b/libs/core/src/lists_apply.cc
@@ -47,7 +47,16 @@
   return {};
 }
 
-/** Gives each service its part of what the fleet may spend on extra attempts. */
+}  // namespace
+
+void ResetBudgets(Parts& parts) {
+  for (ServiceState& service : parts.services) {
+    service.retry_budget = TokenBucket();
+    service.hedge_budget = TokenBucket();
+  }
+  SetBudgets(parts);
+}
+
 void SetBudgets(Parts& parts) {
   const double share = parts.options.retry_slack / std::max(1.0, static_cast<double>(parts.options.fleet_limit));
   for (ServiceState& service : parts.services) {
@@ -59,13 +68,15 @@
   }
 }
 
+namespace {
+
 void ApplyEndpoints(Parts& parts, const Lists& lists, TimePoint now) {
   // Endpoints of the first lists have served before this instance started.
   const bool ramp = parts.phase != Phase::kStarting;
   absl::flat_hash_map<std::string, ServiceHandle> services;
   for (const Service& row : lists.services)
     services.emplace(row.name, FindService(parts, row.name));
-  parts.endpoints.DeactivateAll();
+  parts.endpoints.DeactivateAll(now);
   for (const Endpoint& row : lists.endpoints) {
     const ServiceHandle service = services.at(row.service);
     const EndpointHandle handle = parts.endpoints.Upsert(row, service, now, ramp);
@@ -172,7 +183,7 @@
   }
   ApplyEndpoints(parts, lists, now);
   RefreshCandidates(parts);
-  parts.endpoints.ReclaimInactive();
+  parts.endpoints.ReclaimInactive(now);
 }
 
 void ApplyDiscovered(Parts& parts, TimePoint now) {
@@ -180,7 +191,7 @@
   const bool ramp = parts.phase != Phase::kStarting;
   for (ServiceState& service : parts.services)
     service.endpoints.clear();
-  parts.endpoints.DeactivateAll();
+  parts.endpoints.DeactivateAll(now);
   for (const auto& [name, known] : parts.feed.All()) {
     const ServiceHandle service = FindService(parts, known.change.row.service);
     if (!service.IsValid() || known.change.kind == EndpointChange::Kind::kGone)
@@ -197,7 +208,7 @@
     parts.At(service).endpoints.push_back(handle);
   }
   RefreshCandidates(parts);
-  parts.endpoints.ReclaimInactive();
+  parts.endpoints.ReclaimInactive(now);
 }
 
 }  // namespace sassafras
--- a/libs/core/src/parts.h
+++ b/libs/core/src/parts.h
@@ -27,7 +27,9 @@
 struct Parts {
   explicit Parts(const StateOptions& options_in);
 
-  PlanBranch& BranchOf(const CallState& call) { return At(call.plan).branches[call.branch]; }
+  ServiceState& ServiceOf(const CallState& call) { return At(call.service); }
+  /** Endpoints that the call may use; none once its plan no longer uses the call's service. */
+  const std::vector<EndpointHandle>& CandidatesOf(const CallState& call) const;
   PlanState& At(PlanHandle handle) { return plans[handle.Index()]; }
   ServiceState& At(ServiceHandle handle) { return services[handle.Index()]; }
   EndpointState& At(EndpointHandle handle) { return endpoints[handle]; }
--- a/libs/core/src/reducer.cc
+++ b/libs/core/src/reducer.cc
@@ -33,6 +33,7 @@
   void operator()(const Event::SeatGranted& event) { OnSeatGranted(parts, event, effects); }
   void operator()(const Event::SeatRefused& event) { OnSeatRefused(parts, event, effects); }
   void operator()(const Event::Tick& event) { OnTick(parts, event, effects); }
+  void operator()(const Event::SettingsChanged& event) { OnSettingsChanged(parts, event); }
   void operator()(const Event::StopRequested& event) { OnStopRequested(parts, event, effects); }
 };
 
--- a/libs/core/src/selection.cc
+++ b/libs/core/src/selection.cc
@@ -48,7 +48,8 @@
 
 bool IsEligible(Parts& parts, const CallState& call, EndpointHandle endpoint, TimePoint now) {
   const EndpointState& state = parts.At(endpoint);
-  if (!state.active || state.leaving || state.ejected_until > now)
+  // The position may by now be that of an endpoint of another service.
+  if (state.service != call.service || !state.active || state.leaving || state.ejected_until > now)
     return false;
   if (state.in_flight >= state.connection_limit)
     return false;
@@ -74,16 +75,16 @@
 };
 
 EndpointHandle Selector::Choose(SelectionRule rule) {
-  if (m_branch.candidates.empty())
+  if (m_candidates.empty())
     return {};
   const Rule choose = kRules[static_cast<size_t>(rule)].choose;
   return (this->*choose)();
 }
 
 EndpointHandle Selector::EligibleFrom(size_t start) const {
-  const size_t count = m_branch.candidates.size();
+  const size_t count = m_candidates.size();
   for (size_t step = 0; step < count; ++step) {
-    const EndpointHandle endpoint = m_branch.candidates[(start + step) % count];
+    const EndpointHandle endpoint = m_candidates[(start + step) % count];
     if (IsEligible(m_parts, m_call, endpoint, m_now))
       return endpoint;
   }
@@ -91,9 +92,9 @@
 }
 
 EndpointHandle Selector::Sample() const {
-  const size_t count = m_branch.candidates.size();
+  const size_t count = m_candidates.size();
   for (int draw = 0; draw < kDraws; ++draw) {
-    const EndpointHandle endpoint = m_branch.candidates[m_parts.random() % count];
+    const EndpointHandle endpoint = m_candidates[m_parts.random() % count];
     if (IsEligible(m_parts, m_call, endpoint, m_now))
       return endpoint;
   }
@@ -126,10 +127,10 @@
 }
 
 EndpointHandle Selector::LeastInFlight() {
-  const size_t start = m_parts.random() % m_branch.candidates.size();
+  const size_t start = m_parts.random() % m_candidates.size();
   EndpointHandle best;
-  for (size_t step = 0; step < m_branch.candidates.size(); ++step) {
-    const EndpointHandle endpoint = m_branch.candidates[(start + step) % m_branch.candidates.size()];
+  for (size_t step = 0; step < m_candidates.size(); ++step) {
+    const EndpointHandle endpoint = m_candidates[(start + step) % m_candidates.size()];
     if (!IsEligible(m_parts, m_call, endpoint, m_now))
       continue;
     if (!best.IsValid() || m_parts.At(endpoint).in_flight < m_parts.At(best).in_flight)
--- a/libs/core/src/selection.h
+++ b/libs/core/src/selection.h
@@ -14,7 +14,7 @@
 class Selector {
  public:
   Selector(Parts& parts, PlanState& plan, const CallState& call, TimePoint now)
-      : m_parts(parts), m_plan(plan), m_branch(parts.BranchOf(call)), m_call(call), m_now(now) {}
+      : m_parts(parts), m_plan(plan), m_candidates(parts.CandidatesOf(call)), m_call(call), m_now(now) {}
 
   /** Returns the endpoint for the next attempt of the call, or an invalid handle if it has to wait. */
   EndpointHandle Choose(SelectionRule rule);
@@ -52,7 +52,7 @@
 
   Parts& m_parts;
   PlanState& m_plan;
-  PlanBranch& m_branch;
+  const std::vector<EndpointHandle>& m_candidates;
   const CallState& m_call;
   TimePoint m_now;
 };
--- a/libs/core/src/state.cc
+++ b/libs/core/src/state.cc
@@ -29,6 +29,15 @@
   members.Heard(self, options.start);
 }
 
+const std::vector<EndpointHandle>& Parts::CandidatesOf(const CallState& call) const {
+  static const std::vector<EndpointHandle> kNone;
+  for (const PlanBranch& branch : plans[call.plan.Index()].branches) {
+    if (branch.service == call.service)
+      return branch.candidates;
+  }
+  return kNone;
+}
+
 uint32_t Parts::EpochAt(TimePoint now) const {
   return static_cast<uint32_t>((now - options.start) / IdempotencyTable::kEpochLength);
 }
--- a/libs/entry/include/entry/entry_instance.h
+++ b/libs/entry/include/entry/entry_instance.h
@@ -33,6 +33,9 @@
    */
   void RequestStop();
 
+  /** Puts changed settings into force as far as that is possible while running; the log names the others. */
+  void Reload(const Settings& settings);
+
   /** Requests that were cut off because the stop took longer than its limit. */
   size_t CutRequests() const;
 
--- a/libs/entry/src/entry_instance.cc
+++ b/libs/entry/src/entry_instance.cc
@@ -113,6 +113,7 @@
 
   absl::Status Start();
   void RequestStop();
+  void Reload(const Settings& settings);
   size_t CutRequests() const { return m_cut; }
 
   void OnEffect(const Effect::SendProbe& effect) override { m_prober.Send(effect); }
@@ -150,7 +151,7 @@
   void RefreshCounters();
 
   asio::io_context& m_context;
-  const Settings m_settings;
+  Settings m_settings;
   const Surroundings m_surroundings;
   const NativeDialect m_native_dialect;
   Engine m_engine;
@@ -277,6 +278,21 @@
   m_link->Leave();
 }
 
+void EntryInstance::Impl::Reload(const Settings& settings) {
+  const bool same_sockets = settings.listen == m_settings.listen && settings.page_listen == m_settings.page_listen &&
+                            settings.peer_listen == m_settings.peer_listen && settings.platform == m_settings.platform;
+  m_settings.address_ttl = settings.address_ttl;
+  m_settings.kill_after = settings.kill_after;
+  m_settings.stop_limit = settings.stop_limit;
+  m_settings.connect_timeout = settings.connect_timeout;
+  m_settings.caller_connections = settings.caller_connections;
+  const LogLevel level = same_sockets ? LogLevel::kInfo : LogLevel::kWarning;
+  Log(level, "settings_reloaded", {{"restart_needed", same_sockets ? "no" : "yes, for changed addresses"}});
+  const StateOptions options = MakeOptions(settings, m_engine.GetClock());
+  m_engine.Post(Event::SettingsChanged{m_engine.Now(), options.retry_ratio, options.retry_slack, options.address_ttl,
+                                       options.linger_limit});
+}
+
 void EntryInstance::Impl::OnEffect(const Effect::CloseListeners& /*effect*/) {
   m_closing = true;
   Log(LogLevel::kInfo, "closing", {{"calls_in_progress", std::to_string(m_engine.GetState().CallsInProgress())}});
@@ -330,6 +346,10 @@
   m_impl->RequestStop();
 }
 
+void EntryInstance::Reload(const Settings& settings) {
+  m_impl->Reload(settings);
+}
+
 size_t EntryInstance::CutRequests() const {
   return m_impl->CutRequests();
 }
--- a/libs/entry/src/fleet_link.cc
+++ b/libs/entry/src/fleet_link.cc
@@ -28,6 +28,9 @@
 /** How often a registration is renewed, and how soon after a failure it is tried again. */
 constexpr std::chrono::seconds kRenewPeriod{12};
 constexpr std::chrono::seconds kRegisterRetry{2};
+/** Pauses between looks for other instances, for the first ones and later. */
+constexpr milliseconds kFirstMembersPause{500};
+constexpr std::chrono::seconds kMembersPause{3};
 
 }  // namespace
 
@@ -78,8 +81,6 @@
 }
 
 asio::awaitable<void> FleetLink::RunPoll() {
-  if (!m_members_read)
-    co_await ReadMembers();
   const auto reading = co_await m_store->ReadPlans(Freshness::kLatest);
   NoteResult(reading.status());
   if (reading.ok())
@@ -152,15 +153,15 @@
 
 void FleetLink::OnEffect(const Effect::ReadEndpoints& effect) {
   if (!std::exchange(m_reading_endpoints, true))
-    asio::co_spawn(m_context, RunReadEndpoints(effect.whole), asio::detached);
+    asio::co_spawn(m_context, RunReadEndpoints(effect), asio::detached);
 }
 
-asio::awaitable<void> FleetLink::RunReadEndpoints(bool whole) {
+asio::awaitable<void> FleetLink::RunReadEndpoints(Effect::ReadEndpoints effect) {
   absl::StatusOr<EndpointsReading> reading = EndpointsReading();
-  if (whole || m_endpoints_as_of == 0)
+  if (effect.whole || m_endpoints_as_of == 0)
     reading = co_await m_store->ReadEndpoints();
   else
-    reading = co_await m_store->ReadEndpointChanges(m_endpoints_as_of);
+    reading = co_await m_store->ReadEndpointChanges(m_endpoints_as_of, effect.wait);
   m_reading_endpoints = false;
   NoteResult(reading.status());
   if (!reading.ok())
@@ -178,7 +179,20 @@
   while (!m_leaving) {
     const absl::Status status = co_await m_store->Register(m_engine.GetState().Self());
     NoteResult(status);
-    co_await Pause(status.ok() ? Duration(kRenewPeriod) : Duration(kRegisterRetry));
+    if (!status.ok()) {
+      co_await Pause(kRegisterRetry);
+      continue;
+    }
+    // Others may register only after this instance has read: it asks again until it knows of one.
+    Duration waited{};
+    while (!m_leaving && waited < kRenewPeriod) {
+      const bool alone = m_engine.GetState().ServingMembers().size() <= 1;
+      if (alone || !m_members_read)
+        co_await ReadMembers();
+      const Duration pause = alone && waited < kRegisterRetry ? Duration(kFirstMembersPause) : Duration(kMembersPause);
+      co_await Pause(pause);
+      waited += pause;
+    }
   }
 }
 
--- a/libs/entry/src/fleet_link.h
+++ b/libs/entry/src/fleet_link.h
@@ -38,7 +38,7 @@
   boost::asio::awaitable<void> RunPoll();
   boost::asio::awaitable<void> RunFetch(uint64_t generation);
   boost::asio::awaitable<void> RunWatch();
-  boost::asio::awaitable<void> RunReadEndpoints(bool whole);
+  boost::asio::awaitable<void> RunReadEndpoints(Effect::ReadEndpoints effect);
   boost::asio::awaitable<void> RunRegistration();
   boost::asio::awaitable<void> RunLeave();
   boost::asio::awaitable<void> ReadMembers();
--- a/libs/entry/src/prober.cc
+++ b/libs/entry/src/prober.cc
@@ -79,9 +79,11 @@
   co_await http::async_read(connection->stream, connection->buffer, answer, Awaiting(error));
   if (error)
     co_return error;
+  if (m_dialect.IsFromOther(answer, name))
+    co_return http::error::bad_value;
   ended.load = m_dialect.ReadLoad(answer);
   ended.load.unhealthy = answer.result() != http::status::ok;
-  ended.answered = (ended.load.present || !ended.load.unhealthy) && !m_dialect.IsFromOther(answer, name);
+  ended.answered = ended.load.present || !ended.load.unhealthy;
   if (answer.keep_alive() && connection->buffer.size() == 0)
     m_pool.Return(address, std::move(connection));
   co_return error;
--- a/libs/entry/tests/platform_link_test.cc
+++ b/libs/entry/tests/platform_link_test.cc
@@ -26,6 +26,7 @@
 class NoControl final : public ControlSink {
  public:
   void OnEffect(const Effect::SendProbe&) override {}
+  void OnEffect(const Effect::ReadEndpoints&) override {}
   void OnEffect(const Effect::SendGossip&) override {}
   void OnEffect(const Effect::FetchLists&) override {}
   void OnEffect(const Effect::PollStore&) override {}
--- a/libs/store/include/store/fleet_store.h
+++ b/libs/store/include/store/fleet_store.h
@@ -37,8 +37,10 @@
   virtual boost::asio::awaitable<absl::StatusOr<PlansReading>> AwaitPlans(uint64_t after,
                                                                           std::chrono::milliseconds wait) = 0;
   virtual boost::asio::awaitable<absl::StatusOr<EndpointsReading>> ReadEndpoints() = 0;
-  /** What changed after a revision; all endpoints if the store no longer knows. Waits a little for a change. */
-  virtual boost::asio::awaitable<absl::StatusOr<EndpointsReading>> ReadEndpointChanges(uint64_t after) = 0;
+  /** What changed after a revision, waiting for a change if there is none; all endpoints if the store has forgotten. */
+  virtual boost::asio::awaitable<absl::StatusOr<EndpointsReading>> ReadEndpointChanges(
+      uint64_t after,
+      std::chrono::milliseconds wait) = 0;
   /** The registered entry instances; the answer may lag. */
   virtual boost::asio::awaitable<absl::StatusOr<std::vector<Member>>> ReadMembers() = 0;
   /** Registers this instance, or renews its registration. */
