--- a/libs/entry/src/call_exchange.cc
+++ b/libs/entry/src/call_exchange.cc
@@ -77,7 +77,9 @@
 }
 
 bool CallExchange::Claim(const Attempt& attempt) {
-  if (m_claimed_by != nullptr && m_claimed_by != &attempt)
+  // The answer of a cancelled attempt may have come in just before it was cancelled.
+  const bool taken = m_claimed_by != nullptr && m_claimed_by != &attempt;
+  if (taken || m_end != End::kPending)
     return false;
   m_claimed_by = &attempt;
   m_hedge.cancel();
@@ -88,10 +90,14 @@
   return true;
 }
 
-void CallExchange::Report(const Attempt& attempt, Event::AttemptEnded ended) {
-  std::erase_if(m_attempts, [&](const auto& known) { return known.get() == &attempt; });
+void CallExchange::ReleaseClaim(const Attempt& attempt) {
   if (m_claimed_by == &attempt)
     m_claimed_by = nullptr;
+}
+
+void CallExchange::Report(const Attempt& attempt, Event::AttemptEnded ended) {
+  std::erase_if(m_attempts, [&](const auto& known) { return known.get() == &attempt; });
+  ReleaseClaim(attempt);
   ended.now = m_engine.Now();
   ended.call = m_call;
   m_engine.Post(std::move(ended));
--- a/libs/entry/src/call_exchange.h
+++ b/libs/entry/src/call_exchange.h
@@ -72,6 +72,8 @@
   // For attempts.
   /** Makes this attempt the one that answers; cancels the others. False if another one was first. */
   bool Claim(const Attempt& attempt);
+  /** Lets another attempt answer, if this one did not. */
+  void ReleaseClaim(const Attempt& attempt);
   /** Reports the end of an attempt to the reducer. */
   void Report(const Attempt& attempt, Event::AttemptEnded ended);
   void SetEnd(End end);
