--- a/libs/core/include/core/effect.h
+++ b/libs/core/include/core/effect.h
@@ -10,6 +10,7 @@
 #include "base/clock.h"
 #include "base/handle.h"
 #include "core/call_handle.h"
+#include "core/dispatch_basis.h"
 #include "core/outcome.h"
 
 namespace sassafras {
@@ -34,6 +35,7 @@
     TimePoint hedge_at;
     /** Whether the call has a record that wants the answer kept. */
     bool keep_answer = false;
+    DispatchBasis basis;
   };
   /** Tell the caller that there is no answer; the call has ended. */
   struct Reject {
--- a/libs/core/src/dispatch.cc
+++ b/libs/core/src/dispatch.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <chrono>
+#include <cmath>
 
 #include "asking.h"
 #include "call_end.h"
@@ -51,6 +52,27 @@
     queue.Push(passed[i]);
 }
 
+/** What the latest attempt of the call, at `state`, was chosen on. */
+DispatchBasis BasisOf(const CallState& call, const EndpointState& state, TimePoint now) {
+  DispatchBasis basis;
+  basis.attempt = call.attempts;
+  basis.hedge = call.outstanding > 1;
+  basis.asked = call.asked_count;
+  const EndpointHandle chosen = call.tried[call.attempts - 1u];
+  for (size_t i = 0; i < call.asked_count; ++i) {
+    const float estimate = call.estimates_us[i];
+    if (std::isinf(estimate))
+      continue;
+    ++basis.answered;
+    if (call.asked[i] == chosen)
+      basis.estimate = std::chrono::microseconds(static_cast<int64_t>(estimate));
+  }
+  basis.slowdown = state.slowdown;
+  if (state.reported_at != TimePoint())
+    basis.report_age = std::chrono::duration_cast<std::chrono::microseconds>(now - state.reported_at);
+  return basis;
+}
+
 }  // namespace
 
 size_t MaxAttempts(const Plan& plan) {
@@ -81,7 +103,8 @@
     hedge_at = now + std::max<Duration>(p95, kMinHedgeDelay);
   }
   const bool keep = call.record != CallState::kNoRecord;
-  effects.push_back(Effect::Dispatch{call.ticket, handle, endpoint, call.deadline, hedge_at, keep});
+  effects.push_back(
+      Effect::Dispatch{call.ticket, handle, endpoint, call.deadline, hedge_at, keep, BasisOf(call, state, now)});
 }
 
 bool Hedge(Parts& parts, CallHandle handle, EndpointHandle endpoint, TimePoint now, Effects& effects) {
--- a/libs/entry/src/attempt.cc
+++ b/libs/entry/src/attempt.cc
@@ -52,6 +52,7 @@
 }
 
 asio::awaitable<void> Attempt::Run() {
+  m_started_at = m_engine.Now();
   m_ended.result = co_await Exchange();
   if (m_cancelled)
     m_ended.result = AttemptResult::kCancelled;
@@ -61,6 +62,8 @@
     ReturnIfClean();
   }
   m_connection.reset();
+  const unsigned status = m_response.has_value() ? m_response->get().result_int() : 0;
+  m_exchange.NoteEnd(m_target.name, result, status, m_engine.Now() - m_started_at);
   m_exchange.Report(*this, std::move(m_ended));
   if (result == AttemptResult::kAnswered)
     m_exchange.SetEnd(m_exchange.Caller().gone ? CallExchange::End::kGone : CallExchange::End::kAnswered);
--- a/libs/entry/src/attempt.h
+++ b/libs/entry/src/attempt.h
@@ -60,6 +60,7 @@
   bool m_request_sent_whole = false;
   /** Answer kept so far; empty once it has grown too large. */
   std::shared_ptr<RecordedAnswer> m_kept;
+  TimePoint m_started_at{};
   TimePoint m_sent_at{};
   TimePoint m_head_at{};
   Event::AttemptEnded m_ended;
--- a/libs/entry/src/call_exchange.cc
+++ b/libs/entry/src/call_exchange.cc
@@ -8,6 +8,7 @@
 
 #include "attempt.h"
 #include "engine.h"
+#include "entry/http_dialect.h"
 #include "lists/endpoint.h"
 #include "lists/plan.h"
 #include "upstream_pool.h"
@@ -36,6 +37,7 @@
 }
 
 void CallExchange::Submit(PlanHandle plan, Duration limit, uint64_t fingerprint, const Idempotency& idempotency) {
+  m_plan = plan;
   m_repeat_safe = m_engine.GetState().PlanRow(plan).repeat == Repeat::kSafe;
   m_ticket = m_engine.Register(*this);
   Event::CallArrived event;
@@ -54,9 +56,27 @@
   error_code ignored;
   while (m_end == End::kPending)
     co_await m_ended.async_wait(Awaiting(ignored));
+  WriteLog();
   co_return m_end;
 }
 
+void CallExchange::WriteLog() const {
+  const State& state = m_engine.GetState();
+  const std::string_view id = m_dialect.RequestId(m_request->get());
+  const Duration took = m_engine.Now() - m_received_at;
+  if (m_end == End::kAnswered || m_end == End::kRecorded)
+    m_log.WriteAnswered(id, state, m_plan, m_status, took);
+  else if (m_end == End::kGone)
+    m_log.WriteGone(id, state, m_plan, took);
+  else
+    m_log.WriteRejected(id, state, m_plan, m_rejection.reason, took);
+}
+
+void CallExchange::NoteEnd(std::string_view endpoint, AttemptResult result, unsigned status, Duration took) {
+  m_log.AddEnd(endpoint, result, status, took);
+  m_status = status;
+}
+
 void CallExchange::SetEnd(End end) {
   if (m_end != End::kPending)
     return;
@@ -109,6 +129,7 @@
   target.address = m_engine.GetState().EndpointRow(dispatch.endpoint).address;
   target.name = m_engine.GetState().EndpointRow(dispatch.endpoint).name;
   target.deadline = dispatch.deadline;
+  m_log.AddAttempt(target.name, dispatch.basis);
   target.connect_timeout = m_connect_timeout;
   target.keep_answer = dispatch.keep_answer;
   auto attempt = std::make_shared<Attempt>(*this, m_engine, m_pool, m_dialect, std::move(target));
--- a/libs/entry/src/call_exchange.h
+++ b/libs/entry/src/call_exchange.h
@@ -6,6 +6,7 @@
 #include <string>
 #include <vector>
 
+#include "call_log.h"
 #include "call_sink.h"
 #include "caller_stream.h"
 #include "core/event.h"
@@ -74,6 +75,8 @@
   bool Claim(const Attempt& attempt);
   /** Lets another attempt answer, if this one did not. */
   void ReleaseClaim(const Attempt& attempt);
+  /** Notes for the call's log line how an attempt ended. */
+  void NoteEnd(std::string_view endpoint, AttemptResult result, unsigned status, Duration took);
   /** Reports the end of an attempt to the reducer. */
   void Report(const Attempt& attempt, Event::AttemptEnded ended);
   void SetEnd(End end);
@@ -89,6 +92,7 @@
   void OnRecorded(std::shared_ptr<const RecordedAnswer> answer) override;
 
  private:
+  void WriteLog() const;
   asio::awaitable<void> RunAttempt(std::shared_ptr<Attempt> attempt);
   void ArmHedge(TimePoint hedge_at);
 
@@ -113,6 +117,9 @@
   std::vector<std::shared_ptr<Attempt>> m_attempts;
   const Attempt* m_claimed_by = nullptr;
   bool m_answer_started = false;
+  CallLog m_log;
+  PlanHandle m_plan;
+  unsigned m_status = 0;
 };
 
 }  // namespace sassafras
