--- a/libs/core/include/core/state_options.h
+++ b/libs/core/include/core/state_options.h
@@ -39,6 +39,8 @@
   bool discovery = false;
   /** Whether a few endpoints are asked for their load before each attempt. */
   bool ask_first = false;
+  /** Questions that the fleet may ask one endpoint a second. */
+  double asks_per_endpoint = 60.0;
   std::chrono::milliseconds gossip_period{250};
   /** Peers told in one round. */
   uint32_t gossip_fanout = 2;
--- a/libs/core/src/asking.cc
+++ b/libs/core/src/asking.cc
@@ -27,9 +27,24 @@
 constexpr float kAskWaitFactor = 3.0F;
 /** A call waits for answers no longer than this part of its objective. */
 constexpr int kObjectiveParts = 8;
-/** Share of slots in use from which endpoints may slow down, and by how much. */
-constexpr float kKneeShare = 0.8F;
-constexpr float kKneeSlowdown = 1.7F;
+/** Pause before a call asks again that found no endpoint with room. */
+constexpr milliseconds kAskAgain{12};
+/** Part of its objective by which an attempt of a call should be done, by the estimate. */
+constexpr float kObjectivePart = 0.85F;
+/** Part of the time left that a returned caller's attempt may take, by the estimate. */
+constexpr float kTimeLeftPart = 0.7F;
+/** A second attempt beside the first is made only where no more than this share of slots is in use. */
+constexpr float kHedgeShare = 0.6F;
+/** Part of the fleet's questions that is used, and how long questions may be saved up. */
+constexpr double kAskPart = 0.75;
+constexpr milliseconds kAskBurst{12'000};
+/** Level of the budget from which fewer questions are asked, and how many then. */
+constexpr double kLowBudget = 0.25;
+constexpr size_t kAskedWhenLow = 2;
+/** Level of the budget from which on calls may ask more than once. */
+constexpr double kAmpleBudget = 0.5;
+/** Endpoints that were this much slower than their service lately are taken for slow. */
+constexpr float kSlowFrom = 1.3F;
 /** An endpoint in another failure domain has to be this much faster. */
 constexpr float kRemotePenalty = 1.1F;
 /** Estimate, relative to the usual time, up to which a choice is made without looking further. */
@@ -48,28 +63,35 @@
 }
 
 /** How much slower the endpoint was than its service lately, beyond what it said itself. */
-float LearnedSlowdown(const EndpointState& state, float usual) {
-  constexpr float kMost = 8.0F;
-  return state.latency_us > 0 ? std::clamp(state.latency_us / usual, 0.8F, kMost) : 1.0F;
+float LearnedSlowdown(const EndpointState& state, TimePoint now) {
+  return std::max(1.0F, RelativeLatencyAt(state, now) / kSlowFrom);
+}
+
+/** Requests at the endpoint by its report, with those that this instance has sent since. */
+float Occupancy(const EndpointState& state, const LoadReport& load) {
+  const uint32_t since = state.in_flight > state.own_at_report ? state.in_flight - state.own_at_report : 0;
+  return static_cast<float>(load.in_flight + since);
+}
+
+float SlotsOf(const EndpointState& state, const LoadReport& load) {
+  return static_cast<float>(std::max(1u, load.slots > 0 ? load.slots : state.slots));
 }
 
 /** Estimates how long an attempt at the endpoint takes, from what it just reported. */
 float Estimate(Parts& parts, const CallState& call, EndpointHandle endpoint, const LoadReport& load, TimePoint now) {
   const EndpointState& state = parts.At(endpoint);
-  const float usual = UsualLatency(parts, call);
-  const auto slots = static_cast<float>(std::max(1u, load.slots > 0 ? load.slots : state.slots));
-  // Calls that this instance has sent since it asked are not in the report.
-  const uint32_t since = state.in_flight > state.own_at_report ? state.in_flight - state.own_at_report : 0;
-  const auto others = static_cast<float>(load.in_flight + since);
-  float slowdown = std::max(load.slowdown, 0.1F) * LearnedSlowdown(state, usual);
-  if (others + 1.0F > kKneeShare * slots)
-    slowdown *= kKneeSlowdown;
+  const float slots = SlotsOf(state, load);
+  const float occupied = Occupancy(state, load) + 1.0F;
+  float slowdown = std::max(load.slowdown, 0.1F) * LearnedSlowdown(state, now);
+  if (occupied > kKneeShare * slots)
+    slowdown *= std::max(1.0F, parts.ServiceOf(call).knee_slowdown);
   if (now < state.cold_until)
     slowdown *= kColdSlowdown;
   if (load.unhealthy)
     slowdown *= kUnhealthySlowdown;
-  const float queued = std::max(0.0F, others + 1.0F - slots) / slots;
-  float estimate = usual * slowdown * (1.0F + queued) * (1.0F + kFailureWeight * state.failure_rate);
+  const float queued = std::max(0.0F, occupied - slots) / slots;
+  float estimate = UsualLatency(parts, call) * slowdown * (1.0F + queued);
+  estimate *= 1.0F + kFailureWeight * state.failure_rate;
   if (!state.same_domain)
     estimate *= kRemotePenalty;
   return estimate;
@@ -82,16 +104,30 @@
 
 void Ask(CallState& call, CallHandle handle, EndpointHandle endpoint, Effects& effects) {
   call.asked[call.asked_count] = endpoint;
+  call.asked_shares[call.asked_count] = 0;
   call.estimates_us[call.asked_count] = kUnknown;
   ++call.asked_count;
   ++call.answers_due;
   effects.push_back(Effect::SendProbe{endpoint, call.deadline, handle});
 }
 
+/** How many of `count` questions this instance may ask by its part of the fleet's budget. */
+size_t GrantQuestions(Parts& parts, size_t count, TimePoint now) {
+  const auto fleet = static_cast<double>(std::max<size_t>(1, parts.members.CountServing(now)));
+  size_t endpoints = 0;
+  for (const ServiceState& service : parts.services)
+    endpoints += service.endpoints.size();
+  const double rate = parts.options.asks_per_endpoint * kAskPart * static_cast<double>(endpoints) / fleet;
+  if (parts.ask_budget.Level() < kLowBudget)
+    count = std::min(count, kAskedWhenLow);
+  return parts.ask_budget.Take(count, rate, kAskBurst, now);
+}
+
 /** Asks up to `count` more endpoints, drawn at random; with `local`, only those of the same failure domain. */
 void AskSome(Parts& parts, CallHandle handle, size_t count, bool local, TimePoint now, Effects& effects) {
   CallState& call = *parts.calls.Find(handle);
   const auto& candidates = parts.CandidatesOf(call);
+  count = GrantQuestions(parts, count, now);
   const size_t start = parts.random() % candidates.size();
   for (size_t step = 0; step < candidates.size() && count > 0 && call.asked_count < CallState::kMaxAsked; ++step) {
     // A random draw first, then the rest in order, so that a few eligible ones among many are found too.
@@ -148,18 +184,54 @@
   return call.stage == CallState::Stage::kAsking || call.asking_for_hedge;
 }
 
+/** Makes the second attempt that the questions were asked for, where there is room and time for it. */
+void DecideHedge(Parts& parts, CallHandle handle, EndpointHandle endpoint, float estimate, TimePoint now, Effects& effects) {
+  CallState& call = *parts.calls.Find(handle);
+  call.asking_for_hedge = false;
+  const bool in_time = now + FloatMicros(estimate) < call.deadline;
+  if (endpoint.IsValid() && in_time && call.outstanding == 1 && AskedShare(call, endpoint) <= kHedgeShare)
+    Hedge(parts, handle, endpoint, now, effects);
+}
+
+/** How long an attempt may take that is worth making now. */
+float TimeWorthTaking(Parts& parts, const CallState& call, TimePoint now) {
+  const float left = FloatMicros(call.deadline - now).count();
+  const float objective = FloatMicros(parts.At(call.plan).row.objective_latency).count();
+  const float used = FloatMicros(now - call.arrived).count();
+  const float in_objective = kObjectivePart * objective - used;
+  return call.returned || in_objective <= 0 ? kTimeLeftPart * left : std::min(left, in_objective);
+}
+
+/** Lets the call ask again after a pause; false if it has waited as long as it should. */
+bool AskAgainLater(Parts& parts, CallHandle handle, TimePoint now, Effects& effects) {
+  CallState& call = *parts.calls.Find(handle);
+  const Duration hold = parts.At(call.plan).row.objective_latency / kObjectiveParts;
+  if (now + kAskAgain - call.arrived > hold || parts.ask_budget.Level() < kAmpleBudget)
+    return false;
+  call.pausing = true;
+  call.decide_at = now + kAskAgain;
+  effects.push_back(Effect::ArmAsk{call.ticket, call.decide_at});
+  return true;
+}
+
 void Decide(Parts& parts, CallHandle handle, TimePoint now, Effects& effects) {
   CallState& call = *parts.calls.Find(handle);
   float estimate = 0;
   EndpointHandle endpoint = BestAnswer(parts, call, now, estimate);
   if (call.asking_for_hedge) {
-    call.asking_for_hedge = false;
-    const bool in_time = now + FloatMicros(estimate) < call.deadline;
-    if (endpoint.IsValid() && in_time && call.outstanding == 1)
-      Hedge(parts, handle, endpoint, now, effects);
+    DecideHedge(parts, handle, endpoint, estimate, now, effects);
     return;
   }
-  if (!endpoint.IsValid())
+  const bool answered = endpoint.IsValid();
+  const float usual = UsualLatency(parts, call);
+  if (answered && estimate > kGoodEnough * usual && AskAgainLater(parts, handle, now, effects))
+    return;
+  // The time that such an attempt takes is better spent on calls that can still be answered in time.
+  if (answered && estimate > TimeWorthTaking(parts, call, now) && AskedShare(call, endpoint) > 1.0F) {
+    EndRejected(parts, handle, call.may_have_run ? Reason::kConnectionBroken : Reason::kOverloaded, now, effects);
+    return;
+  }
+  if (!answered)
     endpoint = Unasked(parts, call, now);
   if (!endpoint.IsValid()) {
     const Reason reason = call.may_have_run ? Reason::kConnectionBroken : Reason::kNoEndpoint;
@@ -186,28 +258,44 @@
 
 }  // namespace
 
+float AskedShare(const CallState& call, EndpointHandle endpoint) {
+  for (size_t i = 0; i < call.asked_count; ++i) {
+    if (call.asked[i] == endpoint)
+      return call.asked_shares[i];
+  }
+  return 0;
+}
+
 bool StartAsking(Parts& parts, CallHandle handle, TimePoint now, Effects& effects) {
   CallState& call = *parts.calls.Find(handle);
   call.asked_count = 0;
   call.answers_due = 0;
   call.asking_for_hedge = false;
+  call.pausing = false;
   call.asked_at = now;
   if (parts.CandidatesOf(call).empty())
     return false;
   AskSome(parts, handle, kAskedAtOnce, true, now, effects);
   if (call.asked_count < kAskedAtOnce - 1)
     AskSome(parts, handle, kAskedAtOnce - call.asked_count, false, now, effects);
-  if (call.asked_count == 0)
+  if (call.asked_count == 0 && !Unasked(parts, call, now).IsValid())
     return false;
   if (call.outstanding == 0)
     call.stage = CallState::Stage::kAsking;
-  ArmDecision(parts, call, now, effects);
+  if (call.asked_count > 0) {
+    ArmDecision(parts, call, now, effects);
+    return true;
+  }
+  if (call.outstanding > 0)
+    return false;
+  // No question may be asked now: the choice is made without.
+  Decide(parts, handle, now, effects);
   return true;
 }
 
 void OnAskAnswered(Parts& parts, const Event::ProbeEnded& event, Effects& effects) {
   CallState* call = parts.calls.Find(event.call);
-  if (call == nullptr || !IsWaitingForAnswers(*call) || call->answers_due == 0)
+  if (call == nullptr || !IsWaitingForAnswers(*call) || call->answers_due == 0 || call->pausing)
     return;
   const auto end = call->asked.begin() + call->asked_count;
   const auto asked = std::find(call->asked.begin(), end, event.endpoint);
@@ -219,7 +307,10 @@
   if (event.answered && event.load.present) {
     UpdateAverage(parts.ask_rtt_us, FloatMicros(event.now - call->asked_at).count());
     estimate = Estimate(parts, *call, event.endpoint, event.load, event.now);
-    call->estimates_us[static_cast<size_t>(asked - call->asked.begin())] = estimate;
+    const auto index = static_cast<size_t>(asked - call->asked.begin());
+    const EndpointState& state = parts.At(event.endpoint);
+    call->estimates_us[index] = estimate;
+    call->asked_shares[index] = (Occupancy(state, event.load) + 1.0F) / SlotsOf(state, event.load);
   } else {
     NoteFailure(parts, event.endpoint, event.now);
   }
@@ -237,6 +328,11 @@
   const CallState* call = parts.calls.Find(event.call);
   if (call == nullptr || !IsWaitingForAnswers(*call) || event.now < call->decide_at)
     return;
+  if (call->pausing) {
+    if (!StartAsking(parts, event.call, event.now, effects))
+      EndRejected(parts, event.call, Reason::kNoEndpoint, event.now, effects);
+    return;
+  }
   Decide(parts, event.call, event.now, effects);
 }
 
--- a/libs/core/src/asking.h
+++ b/libs/core/src/asking.h
@@ -1,12 +1,14 @@
 #pragma once
 
 #include "base/clock.h"
+#include "base/handle.h"
 #include "core/call_handle.h"
 #include "core/effect.h"
 #include "core/event.h"
 
 namespace sassafras {
 
+struct CallState;
 struct Parts;
 
 /**
@@ -18,6 +20,9 @@
  */
 bool StartAsking(Parts& parts, CallHandle handle, TimePoint now, Effects& effects);
 
+/** Share of the endpoint's slots that an attempt of the call would take in all; 0 if it was not asked. */
+float AskedShare(const CallState& call, EndpointHandle endpoint);
+
 /** Takes in the answer of an asked endpoint; sends the call on once it is known where to. */
 void OnAskAnswered(Parts& parts, const Event::ProbeEnded& event, Effects& effects);
 
--- a/libs/core/src/attempts.cc
+++ b/libs/core/src/attempts.cc
@@ -63,19 +63,45 @@
     estimate *= sample > estimate ? 1.0F + kUpSteps * kStep : 1.0F - kStep;
 }
 
+/** Moves what is known of the endpoint relative to its service. */
+void LearnRelative(EndpointState& state, float ratio, TimePoint now) {
+  constexpr float kWeight = 0.1F;
+  // A few requests take many times as long wherever they run.
+  constexpr float kMost = 4.0F;
+  const float known = RelativeLatencyAt(state, now);
+  state.relative_latency = known + kWeight * (std::min(ratio, kMost) - known);
+  state.relative_at = now;
+}
+
+/** Learns how much slower endpoints are that have few free slots. */
+void LearnKnee(ServiceState& service, float share, float ratio) {
+  constexpr float kWeight = 0.02F;
+  constexpr float kMost = 3.0F;
+  if (share > kKneeShare && share <= 1.0F)
+    service.knee_slowdown += kWeight * (std::min(ratio, kMost) - service.knee_slowdown);
+}
+
 void LearnLatency(Parts& parts, const CallState& call, EndpointHandle endpoint, TimePoint now) {
   const auto end = call.tried.begin() + call.attempts;
   const auto attempt = std::find(call.tried.begin(), end, endpoint);
   if (attempt == end)
     return;
-  const TimePoint dispatched = call.dispatched[static_cast<size_t>(attempt - call.tried.begin())];
-  const float micros = std::chrono::duration<float, std::micro>(now - dispatched).count();
+  const auto index = static_cast<size_t>(attempt - call.tried.begin());
+  const float micros = std::chrono::duration<float, std::micro>(now - call.dispatched[index]).count();
   // What the endpoint itself said of its speed at that moment is taken out: it changes many times a second.
-  const float usual = micros / call.slowdowns[static_cast<size_t>(attempt - call.tried.begin())];
+  const float usual = micros / call.slowdowns[index];
   PlanState& plan = parts.At(call.plan);
-  UpdateAverage(parts.At(endpoint).latency_us, usual);
-  UpdateAverage(parts.ServiceOf(call).LatencyFor(plan.row.work), usual);
   UpdateP95(plan.p95_us, micros);
+  UpdateAverage(parts.At(endpoint).latency_us, usual);
+  ServiceState& service = parts.ServiceOf(call);
+  float& mean = service.LatencyFor(plan.row.work);
+  if (mean > 0)
+    LearnKnee(service, call.shares[index], usual / mean);
+  // At endpoints with few free slots or a queue the time is not that of the work.
+  if (call.shares[index] > kKneeShare)
+    return;
+  UpdateAverage(mean, usual);
+  LearnRelative(parts.At(endpoint), usual / mean, now);
 }
 
 /** A refusal without a report says that all slots are taken. */
--- a/libs/core/src/call_end.cc
+++ b/libs/core/src/call_end.cc
@@ -1,5 +1,8 @@
 #include "call_end.h"
 
+#include <algorithm>
+#include <chrono>
+#include <random>
 #include <utility>
 
 #include "parts.h"
@@ -9,6 +12,9 @@
 
 using Record = IdempotencyTable::Record;
 
+/** Callers that give longer are not sent away for longer. */
+constexpr std::chrono::seconds kMostTimeLeft{10};
+
 /** Takes a call that waits for a record out of the table and returns the next one. */
 CallHandle RemoveWaiter(Parts& parts, CallHandle handle) {
   const CallHandle next = parts.calls.Find(handle)->next_waiter;
@@ -80,11 +86,30 @@
   AnswerWaiters(parts, call.record, now, effects);
 }
 
+std::chrono::milliseconds RetryAfterFor(Parts& parts, Reason reason, Duration left) {
+  left = std::min<Duration>(left, kMostTimeLeft);
+  const auto drawn = [&](double low, double high) {
+    const double part = std::uniform_real_distribution<double>(low, high)(parts.random);
+    return std::chrono::duration_cast<std::chrono::milliseconds>(left * part);
+  };
+  switch (reason) {
+    case Reason::kOverloaded:
+      return drawn(0.15, 0.33);
+    case Reason::kRefusedByUpstreams:
+    case Reason::kConnectFailed:
+      return drawn(0.03, 0.12);
+    case Reason::kNoEndpoint:
+      return drawn(0.1, 0.3);
+    default:
+      return {};
+  }
+}
+
 void EndRejected(Parts& parts, CallHandle handle, Reason reason, TimePoint now, Effects& effects) {
   const CallState call = *parts.calls.Find(handle);
   const bool not_run = InfoOf(reason).outcome == Outcome::kNotRun;
   CountOutcome(parts, call, not_run ? &PlanCounters::not_run : &PlanCounters::unknown, now);
-  effects.push_back(Effect::Reject{call.ticket, reason, {}});
+  effects.push_back(Effect::Reject{call.ticket, reason, {}, RetryAfterFor(parts, reason, call.caller_deadline - now)});
   parts.calls.Remove(handle);
   CloseRecord(parts, call.record, reason, now, effects);
 }
--- a/libs/core/src/call_end.h
+++ b/libs/core/src/call_end.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chrono>
 #include <cstdint>
 #include <memory>
 
@@ -18,6 +19,12 @@
 /** Counts one ended call of a plan. */
 void CountOutcome(Parts& parts, const CallState& call, uint64_t PlanCounters::*field, TimePoint now);
 
+/**
+ * When a caller that is refused should come back, by the time that it still gives. Drawn at random, so that those who
+ * were refused together do not come back together; later if there was no room than if endpoints refused at random.
+ */
+std::chrono::milliseconds RetryAfterFor(Parts& parts, Reason reason, Duration left);
+
 /** Ends a call that got its whole answer, and gives the answer to calls that wait for its record. */
 void EndAnswered(Parts& parts,
                  CallHandle handle,
--- a/libs/core/src/call_state.h
+++ b/libs/core/src/call_state.h
@@ -38,14 +38,23 @@
   uint64_t fingerprint = 0;
   TimePoint arrived;
   TimePoint deadline;
+  /** Until when the caller itself waits; the deadline may be earlier. */
+  TimePoint caller_deadline;
   /** Endpoints of the attempts so far and when each attempt was made. */
   std::array<EndpointHandle, kMaxAttempts> tried;
   std::array<TimePoint, kMaxAttempts> dispatched;
   /** Slowdown that the endpoint of each attempt had reported. */
   std::array<float, kMaxAttempts> slowdowns{};
+  /** Share of the endpoint's slots in use with each attempt, by its report; 0 if unknown. */
+  std::array<float, kMaxAttempts> shares{};
   /** Endpoints asked for the next attempt, and the estimated time of an attempt there; infinite without an answer. */
   std::array<EndpointHandle, kMaxAsked> asked;
   std::array<float, kMaxAsked> estimates_us{};
+  std::array<float, kMaxAsked> asked_shares{};
+  /** Whether the call waits to ask once more. */
+  bool pausing = false;
+  /** Whether the caller was refused before and has come back, to judge by the time that it has left. */
+  bool returned = false;
   TimePoint asked_at{};
   TimePoint decide_at{};
   /** Idempotency record that this call runs for or waits for. */
--- a/libs/core/src/calls.cc
+++ b/libs/core/src/calls.cc
@@ -1,6 +1,7 @@
 #include "calls.h"
 
 #include <algorithm>
+#include <chrono>
 #include <utility>
 
 #include "call_end.h"
@@ -13,8 +14,11 @@
 using Stage = CallState::Stage;
 using Record = IdempotencyTable::Record;
 
-void Reject(const Event::CallArrived& event, Reason reason, Effects& effects) {
-  effects.push_back(Effect::Reject{event.ticket, reason, {}});
+/** A caller that gives less than this part of the usual time has tried before. */
+constexpr double kReturnedPart = 0.93;
+
+void Reject(Parts& parts, const Event::CallArrived& event, Reason reason, Effects& effects) {
+  effects.push_back(Effect::Reject{event.ticket, reason, {}, RetryAfterFor(parts, reason, event.limit)});
 }
 
 /** Rejects a call before it was accepted, and counts it against its plan. */
@@ -23,7 +27,15 @@
   call.plan = event.plan;
   const bool not_run = InfoOf(reason).outcome == Outcome::kNotRun;
   CountOutcome(parts, call, not_run ? &PlanCounters::not_run : &PlanCounters::unknown, event.now);
-  Reject(event, reason, effects);
+  Reject(parts, event, reason, effects);
+}
+
+/** Whether a caller that gives `limit` was probably refused before. */
+bool HasReturned(PlanState& plan, Duration limit) {
+  if (limit == Duration::max())
+    return false;
+  plan.usual_limit = std::max(plan.usual_limit, limit);
+  return limit < plan.usual_limit * kReturnedPart;
 }
 
 CallHandle Accept(Parts& parts, const Event::CallArrived& event, Effects& effects) {
@@ -36,6 +48,8 @@
   call.arrived = event.now;
   const Duration limit = std::min<Duration>(event.limit, parts.At(event.plan).row.deadline);
   call.deadline = event.now + limit;
+  call.caller_deadline = event.now + std::min<Duration>(event.limit, std::chrono::hours(1));
+  call.returned = HasReturned(parts.At(event.plan), event.limit);
   effects.push_back(Effect::Accepted{event.ticket, handle});
   return handle;
 }
@@ -141,11 +155,11 @@
 
 void OnCallArrived(Parts& parts, const Event::CallArrived& event, Effects& effects) {
   if (parts.phase == Phase::kStarting) {
-    Reject(event, Reason::kNotReady, effects);
+    Reject(parts, event, Reason::kNotReady, effects);
     return;
   }
   if (!event.plan.IsValid() || !parts.At(event.plan).active) {
-    Reject(event, Reason::kNoPlan, effects);
+    Reject(parts, event, Reason::kNoPlan, effects);
     return;
   }
   PlanState& plan = parts.At(event.plan);
--- a/libs/core/src/dispatch.cc
+++ b/libs/core/src/dispatch.cc
@@ -94,6 +94,7 @@
   call.tried[call.attempts] = endpoint;
   call.dispatched[call.attempts] = now;
   call.slowdowns[call.attempts] = state.slowdown;
+  call.shares[call.attempts] = AskedShare(call, endpoint);
   ++call.attempts;
   ++call.outstanding;
   call.stage = Stage::kRunning;
--- a/libs/core/src/endpoint_news.cc
+++ b/libs/core/src/endpoint_news.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <cmath>
 
 #include "parts.h"
 
@@ -47,6 +48,12 @@
   ++state.ejections;
 }
 
+float RelativeLatencyAt(const EndpointState& state, TimePoint now) {
+  constexpr std::chrono::duration<float> kHalfLife{5.0F};
+  const std::chrono::duration<float> age = now - state.relative_at;
+  return 1.0F + (state.relative_latency - 1.0F) * std::exp2(-(age / kHalfLife));
+}
+
 void LearnFromReport(Parts& parts, EndpointHandle endpoint, const LoadReport& load, TimePoint now) {
   EndpointState& state = parts.At(endpoint);
   NoteAlive(parts, endpoint, load.incarnation, now);
--- a/libs/core/src/endpoint_news.h
+++ b/libs/core/src/endpoint_news.h
@@ -9,6 +9,7 @@
 
 namespace sassafras {
 
+struct EndpointState;
 struct Parts;
 
 /** Moves an exponential average towards `sample`; 0 stands for no sample yet. */
@@ -20,6 +21,12 @@
 /** Keeps an endpoint that fails again and again out of use for a while, but never half of a service. */
 void NoteFailure(Parts& parts, EndpointHandle endpoint, TimePoint now);
 
+/** Share of slots in use from which endpoints may slow down. */
+constexpr float kKneeShare = 0.8F;
+
+/** Latency of the endpoint relative to its service; what was learned fades with time. */
+float RelativeLatencyAt(const EndpointState& state, TimePoint now);
+
 /** Takes in a load report of an endpoint, with the incarnation and drain mark that it carries. */
 void LearnFromReport(Parts& parts, EndpointHandle endpoint, const LoadReport& load, TimePoint now);
 
--- a/libs/core/src/endpoint_state.h
+++ b/libs/core/src/endpoint_state.h
@@ -21,6 +21,9 @@
   float latency_us = 0;
   /** Time that work took there when it was last reported, relative to the usual. */
   float slowdown = 1.0F;
+  /** Moving average of answer latency relative to the service's, and when it was last moved. */
+  float relative_latency = 1.0F;
+  TimePoint relative_at{};
   /** Moving average of the part of requests that failed, 0 to 1. */
   float failure_rate = 0;
   uint16_t consecutive_failures = 0;
--- a/libs/core/src/parts.h
+++ b/libs/core/src/parts.h
@@ -20,6 +20,7 @@
 #include "quarantine.h"
 #include "rumor_board.h"
 #include "service_state.h"
+#include "timed_bucket.h"
 
 namespace sassafras {
 
@@ -57,6 +58,8 @@
   Membership members;
   RumorBoard rumors;
   ProbeSchedule probes;
+  /** Questions to endpoints that this instance may still ask. */
+  TimedBucket ask_budget;
   /** Moving average of the time in which an endpoint answers when asked. */
   float ask_rtt_us = 0;
   uint64_t probes_sent = 0;
--- a/libs/core/src/service_state.h
+++ b/libs/core/src/service_state.h
@@ -26,6 +26,8 @@
   /** Extra attempts that may be made; retries draw on both, hedges only on their own. */
   TokenBucket retry_budget;
   TokenBucket hedge_budget;
+  /** How much slower attempts were at endpoints with few free slots, as a moving average of ratios. */
+  float knee_slowdown = 1.4F;
   /** Moving average of other instances' load in one endpoint's report. */
   float others_load = 0;
 
--- /dev/null
+++ b/libs/core/src/timed_bucket.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include <algorithm>
+#include <chrono>
+
+#include "base/clock.h"
+
+namespace sassafras {
+
+/** Budget that grows with time. */
+class TimedBucket {
+ public:
+  /**
+   * Takes up to `wanted` tokens.
+   * @param per_second  tokens gained in a second; may change between calls
+   * @param burst       how long tokens may be saved up
+   * @return how many were there
+   */
+  size_t Take(size_t wanted, double per_second, std::chrono::milliseconds burst, TimePoint now) {
+    const double limit = per_second * std::chrono::duration<double>(burst).count();
+    const bool first = m_filled_at == TimePoint();
+    const double gained = std::chrono::duration<double>(now - m_filled_at).count() * per_second;
+    m_tokens = first ? limit : std::min(limit, m_tokens + gained);
+    m_filled_at = now;
+    m_limit = limit;
+    const size_t taken = std::min(wanted, static_cast<size_t>(std::max(0.0, m_tokens)));
+    m_tokens -= static_cast<double>(taken);
+    return taken;
+  }
+
+  /** Part of the bucket that is full after the last Take(), 0 to 1. */
+  double Level() const { return m_limit > 0 ? m_tokens / m_limit : 1.0; }
+
+ private:
+  double m_limit = 0;
+  double m_tokens = 0;
+  TimePoint m_filled_at{};
+};
+
+}  // namespace sassafras
