--- a/libs/core/src/asking.cc
+++ b/libs/core/src/asking.cc
@@ -127,10 +127,14 @@
 void AskSome(Parts& parts, CallHandle handle, size_t count, bool local, TimePoint now, Effects& effects) {
   CallState& call = *parts.calls.Find(handle);
   const auto& candidates = parts.CandidatesOf(call);
+  // The plan may have moved to other services while the call was asking.
+  if (candidates.empty())
+    return;
   count = GrantQuestions(parts, count, now);
   const size_t start = parts.random() % candidates.size();
-  for (size_t step = 0; step < candidates.size() && count > 0 && call.asked_count < CallState::kMaxAsked; ++step) {
-    // A random draw first, then the rest in order, so that a few eligible ones among many are found too.
+  const size_t most = kDraws + candidates.size();
+  for (size_t step = 0; step < most && count > 0 && call.asked_count < CallState::kMaxAsked; ++step) {
+    // Random draws first, then all in order, so that a few eligible ones among many are found too.
     const size_t position = step < kDraws ? parts.random() % candidates.size() : (start + step) % candidates.size();
     const EndpointHandle endpoint = candidates[position];
     if ((local && !parts.At(endpoint).same_domain) || WasAsked(call, endpoint))
--- a/libs/core/src/attempts.cc
+++ b/libs/core/src/attempts.cc
@@ -183,14 +183,13 @@
     EndCancelled(parts, event.call, true, event.now, effects);
     return;
   }
+  const Reason reason = FinalReason(event.result, call.may_have_run, event.now < call.deadline);
   if (MayRetry(parts, call, event.result, event.now)) {
     ++parts.At(call.plan).totals.retries;
-    if (!TryDispatch(parts, event.call, event.now, effects))
-      Enqueue(parts, event.call, event.now, effects);
+    SendOrHold(parts, event.call, reason, event.now, effects);
     return;
   }
-  EndRejected(parts, event.call, FinalReason(event.result, call.may_have_run, event.now < call.deadline), event.now,
-              effects);
+  EndRejected(parts, event.call, reason, event.now, effects);
 }
 
 }  // namespace
--- a/libs/core/src/calls.cc
+++ b/libs/core/src/calls.cc
@@ -58,8 +58,10 @@
 void StartOrEnqueue(Parts& parts, CallHandle handle, TimePoint now, Effects& effects) {
   const CallState& call = *parts.calls.Find(handle);
   const bool others_wait = !parts.ServiceOf(call).QueueFor(parts.At(call.plan).row.work).Empty();
-  if (others_wait || !TryDispatch(parts, handle, now, effects))
+  if (others_wait)
     Enqueue(parts, handle, now, effects);
+  else
+    SendOrHold(parts, handle, Reason::kNoEndpoint, now, effects);
 }
 
 /** Admits a call that names another instance as owner of its key. */
--- a/libs/core/src/discovery.cc
+++ b/libs/core/src/discovery.cc
@@ -71,7 +71,8 @@
     return false;
   if (whole)
     return since >= kFirstPause;
-  if (feed.differs_since != TimePoint() && now - feed.differs_since >= kDiffersLimit && since >= kDiffersLimit) {
+  if (feed.differs_since != TimePoint() && now - feed.differs_since >= kDiffersLimit) {
+    feed.differs_since = now;
     whole = true;
     return true;
   }
--- a/libs/core/src/dispatch.cc
+++ b/libs/core/src/dispatch.cc
@@ -45,6 +45,8 @@
     }
     if (TryDispatch(parts, entry.call, now, effects))
       service.virtual_time = std::max(service.virtual_time, entry.virtual_finish);
+    else if (parts.options.ask_first && !IsRevalidating(parts, now))
+      EndRejected(parts, entry.call, Reason::kNoEndpoint, now, effects);
     else
       passed[passed_count++] = entry;
   }
@@ -132,6 +134,15 @@
   return true;
 }
 
+void SendOrHold(Parts& parts, CallHandle handle, Reason reason, TimePoint now, Effects& effects) {
+  if (TryDispatch(parts, handle, now, effects))
+    return;
+  if (parts.options.ask_first && !IsRevalidating(parts, now))
+    EndRejected(parts, handle, reason, now, effects);
+  else
+    Enqueue(parts, handle, now, effects);
+}
+
 void Enqueue(Parts& parts, CallHandle handle, TimePoint now, Effects& effects) {
   CallState& call = *parts.calls.Find(handle);
   PlanState& plan = parts.At(call.plan);
--- a/libs/core/src/dispatch.h
+++ b/libs/core/src/dispatch.h
@@ -6,6 +6,7 @@
 #include "base/handle.h"
 #include "core/call_handle.h"
 #include "core/effect.h"
+#include "core/outcome.h"
 
 namespace sassafras {
 
@@ -31,6 +32,12 @@
  * wait. */
 bool TryDispatch(Parts& parts, CallHandle handle, TimePoint now, Effects& effects);
 
+/**
+ * Sends the call on, lets it wait, or ends it with `reason`: where endpoints are asked first, a call that none may
+ * take now is refused at once.
+ */
+void SendOrHold(Parts& parts, CallHandle handle, Reason reason, TimePoint now, Effects& effects);
+
 /** Lets the call wait for an endpoint; a full queue drops its least urgent call. */
 void Enqueue(Parts& parts, CallHandle handle, TimePoint now, Effects& effects);
 
--- a/libs/core/src/lists_apply.cc
+++ b/libs/core/src/lists_apply.cc
@@ -139,7 +139,9 @@
     for (const EndpointHandle handle : parts.At(branch.service).endpoints) {
       const bool named = permitted.empty() || permitted.contains(parts.endpoints.Row(handle).name);
       const bool lane = row.work == Work::kShort || parts.At(handle).long_lane;
-      if (named && lane)
+      // With discovery an endpoint that leaves is out at once and for good, so it is no candidate.
+      const bool stays = !parts.options.discovery || !parts.At(handle).leaving;
+      if (named && lane && stays)
         branch.candidates.push_back(handle);
     }
     KeepSubset(parts, branch.candidates);
--- /dev/null
+++ b/libs/core/tests/single_instance.h
@@ -0,0 +1,127 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "core/effect.h"
+#include "core/event.h"
+#include "core/reducer.h"
+#include "core/state.h"
+#include "core/state_options.h"
+#include "lists/lists.h"
+
+namespace sassafras {
+
+/** One reducer whose endpoints come from a store and which asks them before each attempt. */
+class SingleInstance {
+ public:
+  using Millis = std::chrono::milliseconds;
+
+  explicit SingleInstance(StateOptions options = {}) : m_state(Prepare(options)) {}
+
+  /** Lists with one plan "p" on "/" for the given service. */
+  static Lists ListsFor(const std::string& service, Repeat repeat = Repeat::kSafe) {
+    Lists lists;
+    for (const char* name : {"s", "t"}) {
+      Service row;
+      row.name = name;
+      row.connections = 1'000;
+      row.long_share = 100;
+      lists.services.push_back(row);
+    }
+    Plan plan;
+    plan.name = "p";
+    plan.method = "*";
+    plan.path_prefix = "/";
+    plan.repeat = repeat;
+    plan.deadline = Millis(1'000);
+    plan.objective_latency = Millis(400);
+    plan.service = service;
+    plan.max_attempts = 2;
+    lists.plans.push_back(plan);
+    return lists;
+  }
+
+  static EndpointChange Change(const std::string& name, uint64_t revision, const std::string& domain = "a") {
+    EndpointChange change;
+    change.row = {name, "s", "127.0.0.1:" + std::to_string(1'000 + revision), domain, 6, 0};
+    change.revision = revision;
+    change.incarnation = 1;
+    return change;
+  }
+
+  const Effects& Post(const Event::Any& event) {
+    m_effects.clear();
+    Reduce(m_state, event, m_effects);
+    return m_effects;
+  }
+
+  void TakeLists(uint64_t generation, Lists lists) {
+    Post(Event::ListsReceived{m_now, generation, std::make_shared<const Lists>(std::move(lists))});
+  }
+
+  void TakeEndpoints(std::vector<EndpointChange> changes, bool whole, uint64_t as_of) {
+    Post(Event::EndpointsReceived{m_now, as_of, whole, std::move(changes)});
+  }
+
+  /** A call arrives; the effects that follow are returned. */
+  const Effects& Call(Duration limit = Millis(2'000)) {
+    Event::CallArrived event;
+    event.now = m_now;
+    event.ticket = ++m_ticket;
+    event.plan = m_state.FindPlan("", "GET", "/x");
+    event.limit = limit;
+    event.fingerprint = m_ticket;
+    return Post(event);
+  }
+
+  /** An asked endpoint answers. */
+  const Effects& Answer(const Effect::SendProbe& probe, uint32_t in_flight, float slowdown) {
+    Event::ProbeEnded event;
+    event.now = m_now;
+    event.endpoint = probe.endpoint;
+    event.answered = true;
+    event.call = probe.call;
+    event.load.present = true;
+    event.load.in_flight = in_flight;
+    event.load.slots = 6;
+    event.load.slowdown = slowdown;
+    return Post(event);
+  }
+
+  template <typename T>
+  static std::vector<T> Of(const Effects& effects) {
+    std::vector<T> found;
+    for (const Effect::Any& effect : effects) {
+      if (const T* kind = std::get_if<T>(&effect))
+        found.push_back(*kind);
+    }
+    return found;
+  }
+
+  std::string NameOf(EndpointHandle endpoint) const { return m_state.EndpointRow(endpoint).name; }
+  void Advance(Duration time) { m_now += time; }
+  TimePoint Now() const { return m_now; }
+  State& GetState() { return m_state; }
+
+ private:
+  StateOptions Prepare(StateOptions options) const {
+    options.start = m_now;
+    options.discovery = true;
+    options.ask_first = true;
+    options.self.name = "i0";
+    options.self.failure_domain = "a";
+    options.self.incarnation = 1;
+    return options;
+  }
+
+  TimePoint m_now{std::chrono::hours(1)};
+  State m_state;
+  Effects m_effects;
+  uint64_t m_ticket = 0;
+};
+
+}  // namespace sassafras
--- a/libs/entry/src/caller_session.cc
+++ b/libs/entry/src/caller_session.cc
@@ -19,6 +19,8 @@
 namespace sassafras {
 namespace {
 
+/** Bytes read at a time while a connection is idle. */
+constexpr size_t kReadAhead = 4'096;
 constexpr std::string_view kAdminPrefix = "/sassafras/";
 constexpr int kVersionNotSupported = 505;
 constexpr int kNotImplemented = 501;
@@ -82,8 +84,9 @@
 
 void CallerSession::Close() {
   m_closing = true;
+  // The session itself closes: a request may just have arrived.
   if (m_idle)
-    m_caller->stream.close();
+    m_caller->stream.cancel();
 }
 
 asio::awaitable<void> CallerSession::Run() {
@@ -105,13 +108,22 @@
   m_idle = true;
   m_caller->stream.expires_after(m_engine.GetState().Limits().idle_timeout);
   error_code error;
-  constexpr size_t kReadAhead = 4'096;
   const size_t size = co_await m_caller->stream.async_read_some(m_caller->buffer.prepare(kReadAhead), Awaiting(error));
   m_caller->buffer.commit(size);
   m_idle = false;
+  if (error == asio::error::operation_aborted && m_closing)
+    co_return TakeArrived();
   co_return !error && size > 0;
 }
 
+bool CallerSession::TakeArrived() {
+  error_code error;
+  m_caller->stream.socket().non_blocking(true, error);
+  const size_t size = m_caller->stream.socket().read_some(m_caller->buffer.prepare(kReadAhead), error);
+  m_caller->buffer.commit(size);
+  return size > 0;
+}
+
 asio::awaitable<bool> CallerSession::ServeOne() {
   const CallerLimits& limits = m_engine.GetState().Limits();
   auto parser = std::make_unique<Parser>();
--- a/libs/entry/src/caller_session.h
+++ b/libs/entry/src/caller_session.h
@@ -36,6 +36,8 @@
   using Parser = CallExchange::Parser;
 
   asio::awaitable<bool> WaitForRequest();
+  /** Reads what has already arrived; returns whether there was anything. */
+  bool TakeArrived();
   asio::awaitable<bool> ServeOne();
   asio::awaitable<bool> ServeCall(std::unique_ptr<Parser> parser);
   asio::awaitable<bool> ServeAdmin(Parser& parser);
--- a/libs/entry/src/fleet_link.cc
+++ b/libs/entry/src/fleet_link.cc
@@ -152,7 +152,8 @@
 }
 
 void FleetLink::OnEffect(const Effect::ReadEndpoints& effect) {
-  if (!std::exchange(m_reading_endpoints, true))
+  bool& running = effect.whole ? m_reading_whole : m_reading_endpoints;
+  if (!std::exchange(running, true))
     asio::co_spawn(m_context, RunReadEndpoints(effect), asio::detached);
 }
 
@@ -162,7 +163,7 @@
     reading = co_await m_store->ReadEndpoints();
   else
     reading = co_await m_store->ReadEndpointChanges(m_endpoints_as_of, effect.wait);
-  m_reading_endpoints = false;
+  (effect.whole ? m_reading_whole : m_reading_endpoints) = false;
   NoteResult(reading.status());
   if (!reading.ok())
     co_return;
--- a/libs/entry/src/fleet_link.h
+++ b/libs/entry/src/fleet_link.h
@@ -56,6 +56,8 @@
   uint32_t m_watch_failures = 0;
   bool m_polling = false;
   bool m_fetching = false;
+  /** A read of all endpoints may overtake one that waits for a change. */
+  bool m_reading_whole = false;
   bool m_reading_endpoints = false;
   bool m_members_read = false;
   bool m_registering = false;
