--- a/libs/core/include/core/effect.h
+++ b/libs/core/include/core/effect.h
@@ -69,6 +69,8 @@
     bool whole = false;
     /** How long to wait for a change. */
     std::chrono::milliseconds wait{};
+    /** Peer to ask if the store does not answer; empty for none. */
+    std::string peer_address;
   };
   struct SendGossip {
     std::string peer_address;
--- a/libs/core/include/core/event.h
+++ b/libs/core/include/core/event.h
@@ -77,6 +77,9 @@
     /** Whether endpoints that are not here are gone. */
     bool whole = false;
     std::vector<EndpointChange> changes;
+    /** Whether a peer passed this on, and how old its knowledge was. */
+    bool from_peer = false;
+    std::chrono::milliseconds age{};
   };
   /** A read of the store ended; `ok` tells whether it answered. */
   struct StoreRead {
--- a/libs/core/include/core/state.h
+++ b/libs/core/include/core/state.h
@@ -8,6 +8,7 @@
 
 #include "base/clock.h"
 #include "base/handle.h"
+#include "core/endpoint_change.h"
 #include "core/member.h"
 
 namespace sassafras {
@@ -37,6 +38,10 @@
   TimePoint NextTick(TimePoint now) const;
   /** Revision of the platform's store up to which the endpoints are known; 0 before the first reading. */
   uint64_t EndpointsAsOf() const;
+  /** Endpoints that the platform's store lists, as far as this instance knows. */
+  std::vector<EndpointChange> KnownEndpoints() const;
+  /** Age of the newest proof of what endpoints the store lists. */
+  std::chrono::milliseconds EndpointsAge(TimePoint now) const;
   /** Number of calls waiting or running. */
   size_t CallsInProgress() const;
   size_t CallsWaiting() const;
--- a/libs/core/src/discovery.cc
+++ b/libs/core/src/discovery.cc
@@ -103,7 +103,7 @@
     feed.RemoveOthers(event.changes, event.as_of, gone_delay, event.now, news);
   const bool first = feed.as_of == 0;
   feed.as_of = std::max(feed.as_of, event.as_of);
-  feed.confirmed_at = event.now;
+  feed.confirmed_at = std::max(feed.confirmed_at, event.now - event.age);
   // The next change may come at any time.
   feed.last_read = event.now - kReadPeriod + kPauseAfterChange;
   if (event.whole)
@@ -113,7 +113,7 @@
   if (news.empty())
     return;
   ApplyDiscovered(parts, event.now);
-  if (!first)
+  if (!first && !event.from_peer)
     Broadcast(parts, news, event.now, effects);
 }
 
@@ -161,7 +161,9 @@
   if (parts.phase == Phase::kClosing || !IsReadDue(parts, now, read))
     return;
   parts.feed.last_read = now;
-  effects.push_back(read);
+  if (read.whole)
+    read.peer_address = RandomPeerAddress(parts, now);
+  effects.push_back(std::move(read));
 }
 
 TimePoint NextDiscovery(const Parts& parts) {
--- a/libs/core/src/gossip.cc
+++ b/libs/core/src/gossip.cc
@@ -49,6 +49,8 @@
   return nullptr;
 }
 
+}  // namespace
+
 std::string RandomPeerAddress(Parts& parts, TimePoint now) {
   const bool ask_silent = parts.random() % kSilentPeerRounds == 0;
   const Membership::Entry* peer = RandomPeer(parts, !ask_silent, now);
@@ -56,10 +58,13 @@
     peer = RandomPeer(parts, ask_silent, now);
   if (peer != nullptr)
     return peer->member.peer_address;
-  const auto& seeds = parts.options.seed_peers;
+  std::vector<std::string> seeds = parts.options.seed_peers;
+  std::erase(seeds, parts.self.peer_address);
   return seeds.empty() ? std::string() : seeds[parts.random() % seeds.size()];
 }
 
+namespace {
+
 bool IsWorthTelling(const Parts& parts, const Membership::Entry& entry, TimePoint now) {
   return parts.members.IsAlive(entry, now) && entry.member.incarnation != 0;
 }
--- a/libs/core/src/gossip.h
+++ b/libs/core/src/gossip.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <string>
 #include <vector>
 
 #include "base/clock.h"
@@ -16,6 +17,9 @@
 /** Sends this instance's news to a fixed number of peers. */
 void SendGossipRound(Parts& parts, TimePoint now, Effects& effects);
 
+/** Address of a random peer, or of a seed while none is known; empty if there is none. */
+std::string RandomPeerAddress(Parts& parts, TimePoint now);
+
 /** Tells all peers at once which lists are held here and which endpoints have changed. */
 void SendToAllPeers(Parts& parts, std::vector<EndpointChange> changes, TimePoint now, Effects& effects);
 
--- a/libs/core/src/state.cc
+++ b/libs/core/src/state.cc
@@ -94,6 +94,19 @@
   return NextTickOf(*m_parts, now);
 }
 
+std::vector<EndpointChange> State::KnownEndpoints() const {
+  std::vector<EndpointChange> endpoints;
+  for (const auto& [name, known] : m_parts->feed.All()) {
+    if (known.change.kind != EndpointChange::Kind::kGone)
+      endpoints.push_back(known.change);
+  }
+  return endpoints;
+}
+
+std::chrono::milliseconds State::EndpointsAge(TimePoint now) const {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(now - m_parts->feed.confirmed_at);
+}
+
 uint64_t State::EndpointsAsOf() const {
   return m_parts->feed.as_of;
 }
--- a/libs/entry/src/entry_instance.cc
+++ b/libs/entry/src/entry_instance.cc
@@ -103,7 +103,9 @@
     m_engine.SetControlSink(*this);
     m_engine.SetDoneHook([this] { OnEventsDone(); });
     if (m_surroundings.store != nullptr) {
-      m_link = std::make_unique<FleetLink>(context, m_engine, m_surroundings.store);
+      auto link = std::make_unique<FleetLink>(context, m_engine, m_surroundings.store);
+      m_peer_pages = std::make_unique<AdminPages>(m_engine, m_settings, m_counters, link.get(), [] {});
+      m_link = std::move(link);
       return;
     }
     m_store = std::make_unique<EtcdClient>(settings.platform, settings.instance);
@@ -130,9 +132,11 @@
  private:
   /** One listening address. */
   struct Listener {
-    Listener(asio::io_context& context, SessionKind kind_in) : acceptor(context), kind(kind_in) {}
+    Listener(asio::io_context& context, SessionKind kind_in, const AdminPages& pages_in)
+        : acceptor(context), kind(kind_in), pages(pages_in) {}
     asio::ip::tcp::acceptor acceptor;
     SessionKind kind;
+    const AdminPages& pages;
   };
 
   const HttpDialect& Dialect() const {
@@ -140,9 +144,12 @@
       return *m_surroundings.dialect;
     return m_native_dialect;
   }
-  absl::Status Listen(const std::string& address, std::string_view setting, SessionKind kind);
+  absl::Status Listen(const std::string& address,
+                      std::string_view setting,
+                      SessionKind kind,
+                      const AdminPages& pages);
   asio::awaitable<void> Accept(Listener& listener);
-  asio::awaitable<void> Serve(asio::ip::tcp::socket socket, SessionKind kind);
+  asio::awaitable<void> Serve(asio::ip::tcp::socket socket, const Listener& listener);
   void ScheduleTick();
   void OnEventsDone();
   void ScheduleSweep();
@@ -163,6 +170,8 @@
   Prober m_prober;
   Counters m_counters;
   AdminPages m_admin;
+  /** Pages for peers; null where they use RPC. */
+  std::unique_ptr<AdminPages> m_peer_pages;
   std::list<Listener> m_listeners;
   asio::steady_timer m_tick;
   TimePoint m_tick_at = TimePoint::max();
@@ -173,8 +182,11 @@
   size_t m_cut = 0;
 };
 
-absl::Status EntryInstance::Impl::Listen(const std::string& address, std::string_view setting, SessionKind kind) {
-  Listener& listener = m_listeners.emplace_back(m_context, kind);
+absl::Status EntryInstance::Impl::Listen(const std::string& address,
+                                         std::string_view setting,
+                                         SessionKind kind,
+                                         const AdminPages& pages) {
+  Listener& listener = m_listeners.emplace_back(m_context, kind, pages);
   absl::Status status = OpenListener(listener.acceptor, address, setting);
   if (status.ok())
     asio::co_spawn(m_context, Accept(listener), asio::detached);
@@ -184,15 +196,17 @@
 absl::Status EntryInstance::Impl::Start() {
   const bool own_pages = m_settings.page_listen.empty();
   absl::Status status =
-      Listen(m_settings.listen, "listen", own_pages ? SessionKind::kCallsAndPages : SessionKind::kCalls);
+      Listen(m_settings.listen, "listen", own_pages ? SessionKind::kCallsAndPages : SessionKind::kCalls, m_admin);
   for (const std::string& address : m_settings.page_listen) {
     if (status.ok())
-      status = Listen(address, "page_listen", SessionKind::kPages);
+      status = Listen(address, "page_listen", SessionKind::kPages, m_admin);
   }
   if (status.ok())
     status = m_gossip.Open(m_settings.peer_listen);
   if (status.ok() && m_rpc != nullptr)
     status = m_rpc->Start(m_settings.peer_listen);
+  if (status.ok() && m_peer_pages != nullptr)
+    status = Listen(m_settings.peer_listen, "peer_listen", SessionKind::kPages, *m_peer_pages);
   if (!status.ok())
     return status;
   ScheduleTick();
@@ -216,13 +230,14 @@
       co_await pause.async_wait(Awaiting(error));
       continue;
     }
-    asio::co_spawn(m_context, Serve(std::move(socket), listener.kind), asio::detached);
+    asio::co_spawn(m_context, Serve(std::move(socket), listener), asio::detached);
   }
 }
 
-asio::awaitable<void> EntryInstance::Impl::Serve(asio::ip::tcp::socket socket, SessionKind kind) {
-  const auto session = std::make_shared<CallerSession>(std::move(socket), m_engine, m_pool, Dialect(), m_admin, kind,
-                                                       duration_cast<milliseconds>(m_settings.connect_timeout));
+asio::awaitable<void> EntryInstance::Impl::Serve(asio::ip::tcp::socket socket, const Listener& listener) {
+  const auto session =
+      std::make_shared<CallerSession>(std::move(socket), m_engine, m_pool, Dialect(), listener.pages, listener.kind,
+                                      duration_cast<milliseconds>(m_settings.connect_timeout));
   m_sessions.insert(session.get());
   co_await session->Run();
   m_sessions.erase(session.get());
--- a/libs/entry/src/fleet_link.cc
+++ b/libs/entry/src/fleet_link.cc
@@ -9,9 +9,11 @@
 #include "base/error.h"
 #include "base/log.h"
 #include "core/state.h"
+#include "endpoint_json.h"
 #include "engine.h"
 #include "http_types.h"
 #include "lists/lists.h"
+#include "net/http_client.h"
 #include "store/fleet_store.h"
 
 namespace sassafras {
@@ -31,6 +33,11 @@
 /** Pauses between looks for other instances, for the first ones and later. */
 constexpr milliseconds kFirstMembersPause{500};
 constexpr std::chrono::seconds kMembersPause{3};
+/** Longest time for a question to a peer. */
+constexpr milliseconds kPeerLimit{500};
+constexpr std::string_view kPlansPage = "/sassafras/peer/plans";
+constexpr std::string_view kEndpointsPage = "/sassafras/peer/endpoints";
+constexpr int kOk = 200;
 
 }  // namespace
 
@@ -59,17 +66,21 @@
   co_await timer.async_wait(Awaiting(ignored));
 }
 
+void FleetLink::PutInForce(const PlansReading& reading, std::string_view source) {
+  Log(LogLevel::kInfo, "plans_in_force",
+      {{"generation", std::to_string(reading.generation)},
+       {"replaces", std::to_string(m_engine.GetState().Generation())},
+       {"source", std::string(source)},
+       {"as_of", std::to_string(reading.as_of)},
+       {"plans", std::to_string(reading.lists->plans.size())}});
+  m_document = reading.document;
+  m_engine.Post(Event::ListsReceived{m_engine.Now(), reading.generation, reading.lists});
+}
+
 void FleetLink::TakePlans(const PlansReading& reading) {
   m_plans_as_of = std::max(m_plans_as_of, reading.as_of);
-  const uint64_t known = m_engine.GetState().Generation();
-  if (reading.generation > known) {
-    Log(LogLevel::kInfo, "plans_in_force",
-        {{"generation", std::to_string(reading.generation)},
-         {"replaces", std::to_string(known)},
-         {"as_of", std::to_string(reading.as_of)},
-         {"plans", std::to_string(reading.lists->plans.size())}});
-    m_engine.Post(Event::ListsReceived{m_engine.Now(), reading.generation, reading.lists});
-  }
+  if (reading.generation > m_engine.GetState().Generation())
+    PutInForce(reading, "store");
   m_engine.Post(Event::StoreConfirmed{m_engine.Now(), m_engine.GetState().Generation()});
 }
 
@@ -106,24 +117,72 @@
 }
 
 void FleetLink::OnEffect(const Effect::FetchLists& effect) {
-  const bool starting = m_engine.GetState().CurrentPhase() == Phase::kStarting;
-  if (starting || std::exchange(m_fetching, true))
-    return;
-  asio::co_spawn(m_context, RunFetch(effect.generation), asio::detached);
+  if (!std::exchange(m_fetching, true))
+    asio::co_spawn(m_context, RunFetch(effect), asio::detached);
 }
 
-asio::awaitable<void> FleetLink::RunFetch(uint64_t generation) {
-  auto reading = co_await m_store->ReadPlans(Freshness::kMayLag);
-  NoteResult(reading.status());
-  if (reading.ok() && reading->generation < generation) {
-    reading = co_await m_store->ReadPlans(Freshness::kLatest);
+asio::awaitable<void> FleetLink::RunFetch(Effect::FetchLists effect) {
+  // Asking a peer costs the platform nothing, and works for an instance that the store turns away.
+  const bool fetched = co_await FetchFromPeer(effect.peer_address);
+  if (!fetched && effect.generation > m_engine.GetState().Generation()) {
+    const auto reading = co_await m_store->ReadPlans(Freshness::kLatest);
     NoteResult(reading.status());
+    if (reading.ok() && reading->generation > 0)
+      TakePlans(*reading);
   }
-  if (reading.ok() && reading->generation > 0)
-    TakePlans(*reading);
   m_fetching = false;
 }
 
+asio::awaitable<bool> FleetLink::FetchFromPeer(std::string peer_address) {
+  const auto reply = co_await SendHttp(peer_address, "GET", std::string(kPlansPage), "", kPeerLimit);
+  if (!reply.ok() || reply->status != kOk) {
+    Log(LogLevel::kInfo, "peer_has_no_plans", {{"peer", peer_address}});
+    co_return false;
+  }
+  const auto reading = m_store->DecodePlans(reply->body);
+  if (!reading.ok()) {
+    Log(LogLevel::kError, "plans_unusable", {{"peer", peer_address}, {"error", MessageOf(reading.status())}});
+    co_return false;
+  }
+  if (reading->generation <= m_engine.GetState().Generation())
+    co_return false;
+  PutInForce(*reading, peer_address);
+  co_return true;
+}
+
+asio::awaitable<void> FleetLink::FetchEndpointsFromPeer(std::string peer_address) {
+  const auto reply = co_await SendHttp(peer_address, "GET", std::string(kEndpointsPage), "", kPeerLimit);
+  if (!reply.ok() || reply->status != kOk) {
+    Log(LogLevel::kInfo, "peer_has_no_endpoints", {{"peer", peer_address}});
+    co_return;
+  }
+  auto event = DecodeEndpoints(reply->body);
+  if (!event.ok()) {
+    Log(LogLevel::kError, "endpoints_unusable", {{"peer", peer_address}, {"error", MessageOf(event.status())}});
+    co_return;
+  }
+  Log(LogLevel::kInfo, "endpoints_from_peer",
+      {{"peer", peer_address},
+       {"count", std::to_string(event->changes.size())},
+       {"as_of", std::to_string(event->as_of)},
+       {"age_ms", std::to_string(event->age.count())}});
+  event->now = m_engine.Now();
+  m_engine.Post(*std::move(event));
+}
+
+std::optional<Page> FleetLink::Render(std::string_view target, const State& state) const {
+  constexpr int kUnavailable = 503;
+  if (target == kPlansPage && !m_document.empty())
+    return Page{kOk, "application/json", m_document};
+  if (target == kEndpointsPage && state.EndpointsAsOf() > 0) {
+    const auto age = state.EndpointsAge(m_engine.Now());
+    return Page{kOk, "application/json", EncodeEndpoints(state.KnownEndpoints(), state.EndpointsAsOf(), age)};
+  }
+  if (target == kPlansPage || target == kEndpointsPage)
+    return Page{kUnavailable, "text/plain", "nothing is known here yet; ask another instance\n"};
+  return std::nullopt;
+}
+
 void FleetLink::OnEffect(const Effect::WatchStore& effect) {
   m_watch_on = effect.on;
   if (effect.on && !std::exchange(m_watch_running, true))
@@ -165,6 +224,8 @@
     reading = co_await m_store->ReadEndpointChanges(m_endpoints_as_of, effect.wait);
   (effect.whole ? m_reading_whole : m_reading_endpoints) = false;
   NoteResult(reading.status());
+  if (!reading.ok() && !effect.peer_address.empty())
+    co_await FetchEndpointsFromPeer(effect.peer_address);
   if (!reading.ok())
     co_return;
   m_endpoints_as_of = std::max(m_endpoints_as_of, reading->as_of);
--- a/libs/entry/src/fleet_link.h
+++ b/libs/entry/src/fleet_link.h
@@ -11,6 +11,7 @@
 
 #include "base/clock.h"
 #include "control_link.h"
+#include "entry/page_source.h"
 
 namespace sassafras {
 
@@ -19,7 +20,7 @@
 struct PlansReading;
 
 /** Reads plans, endpoints and members from a FleetStore, and registers this instance there. */
-class FleetLink final : public ControlLink {
+class FleetLink final : public ControlLink, public PageSource {
  public:
   FleetLink(boost::asio::io_context& context, Engine& engine, std::shared_ptr<FleetStore> store);
 
@@ -31,18 +32,24 @@
   void OnEffect(const Effect::ClaimSeat& /*effect*/) override {}
   void OnEffect(const Effect::ReleaseSeat& /*effect*/) override {}
   void Leave() override;
+  /** Pages for peers: the plans and endpoints known here. */
+  std::optional<Page> Render(std::string_view target, const State& state) const override;
   uint64_t Calls() const override { return m_calls; }
   uint64_t Failures() const override { return m_failures; }
 
  private:
   boost::asio::awaitable<void> RunPoll();
-  boost::asio::awaitable<void> RunFetch(uint64_t generation);
+  boost::asio::awaitable<void> RunFetch(Effect::FetchLists effect);
+  /** Reads the plans from a peer; false if it has none above our generation. */
+  boost::asio::awaitable<bool> FetchFromPeer(std::string peer_address);
+  boost::asio::awaitable<void> FetchEndpointsFromPeer(std::string peer_address);
   boost::asio::awaitable<void> RunWatch();
   boost::asio::awaitable<void> RunReadEndpoints(Effect::ReadEndpoints effect);
   boost::asio::awaitable<void> RunRegistration();
   boost::asio::awaitable<void> RunLeave();
   boost::asio::awaitable<void> ReadMembers();
   boost::asio::awaitable<void> Pause(Duration pause);
+  void PutInForce(const PlansReading& reading, std::string_view source);
   void TakePlans(const PlansReading& reading);
   /** Counts a call, and tells the reducer whether the store answered. */
   void NoteResult(const absl::Status& status);
@@ -50,6 +57,8 @@
   boost::asio::io_context& m_context;
   Engine& m_engine;
   std::shared_ptr<FleetStore> m_store;
+  /** The plans in force, as the store holds them. */
+  std::string m_document;
   /** Revision of the store up to which the plans are known. */
   uint64_t m_plans_as_of = 0;
   uint64_t m_endpoints_as_of = 0;
--- a/libs/store/include/store/fleet_store.h
+++ b/libs/store/include/store/fleet_store.h
@@ -2,6 +2,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <string_view>
 #include <vector>
 
 #include <absl/status/status.h>
@@ -32,6 +33,8 @@
  public:
   virtual ~FleetStore() = default;
 
+  /** Decodes a document that a peer has read. */
+  virtual absl::StatusOr<PlansReading> DecodePlans(std::string_view document) const = 0;
   virtual boost::asio::awaitable<absl::StatusOr<PlansReading>> ReadPlans(Freshness freshness) = 0;
   /** Waits until the plans change after revision `after`, or `wait` has passed; generation 0 if they did not. */
   virtual boost::asio::awaitable<absl::StatusOr<PlansReading>> AwaitPlans(uint64_t after,
--- a/libs/store/include/store/plans_reading.h
+++ b/libs/store/include/store/plans_reading.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <string>
 
 namespace sassafras {
 
@@ -14,6 +15,8 @@
   /** Generation of the plans; 0 if there are none, or none that changed. */
   uint64_t generation = 0;
   std::shared_ptr<const Lists> lists;
+  /** The plans as the store holds them, to be passed on to peers. */
+  std::string document;
 };
 
 }  // namespace sassafras
