--- a/libs/core/src/control.cc
+++ b/libs/core/src/control.cc
@@ -27,6 +27,8 @@
 constexpr seconds kRevalidateLimit{1};
 /** Instances that watch the store; the others learn from them. */
 constexpr size_t kWatchers = 2;
+/** With discovery a third of the instances may be turned away by the store at once. */
+constexpr size_t kDiscoveryWatchers = 4;
 /** Instances that try for each probe seat. */
 constexpr size_t kSeatCandidates = 2;
 constexpr uint64_t kWatchPurpose = 0x7761746368;
@@ -45,7 +47,8 @@
 
 void RefreshWatch(Parts& parts, TimePoint now, Effects& effects) {
   const bool serving = parts.phase != Phase::kClosing;
-  const bool watch = serving && parts.members.RankForReaching(kWatchPurpose, parts.self_hash, now) < kWatchers;
+  const size_t watchers = parts.options.discovery ? kDiscoveryWatchers : kWatchers;
+  const bool watch = serving && parts.members.RankForReaching(kWatchPurpose, parts.self_hash, now) < watchers;
   if (watch == parts.lists.watching)
     return;
   parts.lists.watching = watch;
--- a/libs/core/src/discovery.cc
+++ b/libs/core/src/discovery.cc
@@ -117,9 +117,15 @@
     Broadcast(parts, news, event.now, effects);
 }
 
-void OnStoreRead(Parts& parts, const Event::StoreRead& event, Effects& /*effects*/) {
+void OnStoreRead(Parts& parts, const Event::StoreRead& event, Effects& effects) {
   EndpointFeed& feed = parts.feed;
+  const bool changed = parts.self.store_reachable != event.ok;
   parts.self.store_reachable = event.ok;
+  if (changed) {
+    parts.members.NoteReaching(parts.self.name, event.ok, parts.self.heartbeat);
+    parts.next_role_check = event.now;
+    SendToAllPeers(parts, {}, event.now, effects);
+  }
   if (!event.ok) {
     ++feed.failures;
     feed.store_failing = true;
--- a/libs/core/src/gossip.cc
+++ b/libs/core/src/gossip.cc
@@ -195,6 +195,9 @@
   const GossipMessage& message = event.message;
   if (message.sender.name == parts.self.name)
     return;
+  // Whoever loses the store hands its reading of it on at once.
+  if (parts.members.NoteReaching(message.sender.name, message.sender.store_reachable, message.sender.heartbeat))
+    parts.next_role_check = event.now;
   parts.members.Heard(message.sender, event.now);
   for (const Member& member : message.members) {
     if (member.name != parts.self.name)
--- a/libs/core/src/membership.cc
+++ b/libs/core/src/membership.cc
@@ -50,11 +50,22 @@
   // Leaving is final for an incarnation, whatever order messages arrive in.
   known.leaving = known.leaving || member.leaving;
   known.epoch = std::max(known.epoch, member.epoch);
-  if (member.heartbeat >= known.heartbeat)
+  if (member.heartbeat > known.heartbeat)
     known.store_reachable = member.store_reachable;
   Advance(entry, member.heartbeat, now);
 }
 
+bool Membership::NoteReaching(std::string_view name, bool reaching, uint32_t heartbeat) {
+  for (Entry& entry : m_entries) {
+    const bool newer = entry.member.name == name && heartbeat >= entry.member.heartbeat;
+    if (!newer || entry.member.store_reachable == reaching)
+      continue;
+    entry.member.store_reachable = reaching;
+    return true;
+  }
+  return false;
+}
+
 void Membership::Listed(const std::vector<Member>& members, bool whole, TimePoint now) {
   for (Entry& entry : m_entries)
     entry.listed = entry.listed && !whole;
--- a/libs/core/src/membership.h
+++ b/libs/core/src/membership.h
@@ -34,6 +34,8 @@
 
   /** Takes in what a member says of itself or a peer says of it. */
   void Heard(const Member& member, TimePoint now);
+  /** Takes in whether a member reaches the platform's store; returns whether that is new. */
+  bool NoteReaching(std::string_view name, bool reaching, uint32_t heartbeat);
   /** Takes in a peer's proof that a member was alive; an unknown id is passed over. */
   void HeardHeartbeat(uint32_t id, uint32_t heartbeat, TimePoint now);
   /** Takes in the platform's list, or the part of it that changed if it is not `whole`. */
--- a/libs/core/tests/discovery_test.cc
+++ b/libs/core/tests/discovery_test.cc
@@ -126,6 +126,39 @@
   CHECK(sent[0].message->endpoint_changes[0].kind == Kind::kLeaving);
 }
 
+TEST_CASE("an instance that the store turns away tells all peers, and another one watches in its place") {
+  Fixture fixture;
+  for (int i = 1; i <= 12; ++i) {
+    GossipMessage message;
+    message.sender.name = "peer" + std::to_string(i);
+    message.sender.incarnation = 1;
+    message.sender.heartbeat = 1;
+    message.sender.peer_address = "127.0.0.1:" + std::to_string(i);
+    fixture.instance.Post(Event::GossipReceived{fixture.instance.Now(), message});
+  }
+  const Effects& told = fixture.instance.Post(Event::StoreRead{fixture.instance.Now(), false});
+  CHECK(SingleInstance::Of<Effect::SendGossip>(told).size() == 12);
+  fixture.StoreAnswers(true);
+  fixture.Tick();
+  fixture.instance.Advance(Millis(1'100));
+  bool watches = false;
+  for (const auto& effect : SingleInstance::Of<Effect::WatchStore>(fixture.instance.Post(Event::Tick{fixture.instance.Now()})))
+    watches = effect.on;
+  // All peers are turned away: whatever its place in the order, this instance watches at once.
+  for (int i = 1; i <= 12; ++i) {
+    GossipMessage message;
+    message.sender.name = "peer" + std::to_string(i);
+    message.sender.incarnation = 1;
+    message.sender.heartbeat = 2;
+    message.sender.peer_address = "127.0.0.1:" + std::to_string(i);
+    message.sender.store_reachable = false;
+    fixture.instance.Post(Event::GossipReceived{fixture.instance.Now(), message});
+  }
+  for (const auto& effect : SingleInstance::Of<Effect::WatchStore>(fixture.instance.Post(Event::Tick{fixture.instance.Now()})))
+    watches = effect.on;
+  CHECK(watches);
+}
+
 TEST_CASE("an instance that missed news reads the store when a peer keeps knowing other endpoints") {
   Fixture fixture;
   GossipMessage message;
--- a/libs/entry/src/fleet_link.cc
+++ b/libs/entry/src/fleet_link.cc
@@ -22,7 +22,7 @@
 using std::chrono::milliseconds;
 
 /** How long a watch waits for a change of the plans; its end proves that there was none. */
-constexpr milliseconds kWatchWait{4'000};
+constexpr milliseconds kWatchWait{2'500};
 /** Bounds of the pause after a watch that failed. */
 constexpr milliseconds kFirstPause{200};
 constexpr milliseconds kMaxPause{1'600};
