--- a/libs/entry/include/entry/http_dialect.h
+++ b/libs/entry/include/entry/http_dialect.h
@@ -47,6 +47,8 @@
                               std::chrono::milliseconds left) const = 0;
   /** Judges the head of an answer to `request`. */
   virtual AnswerKind Classify(const RequestHead& request, const AnswerHead& answer) const = 0;
+  /** Whether an answer may have no length and end with its connection; otherwise that is taken for a cut. */
+  virtual bool AllowsUnframed() const = 0;
   virtual LoadReport ReadLoad(const Fields& fields) const = 0;
   /** Whether the answer to a probe came from another endpoint than the one named. */
   virtual bool IsFromOther(const Fields& fields, std::string_view endpoint_name) const = 0;
--- a/libs/entry/include/entry/native_dialect.h
+++ b/libs/entry/include/entry/native_dialect.h
@@ -14,6 +14,7 @@
                       std::string_view endpoint_address,
                       std::chrono::milliseconds left) const override;
   AnswerKind Classify(const RequestHead& request, const AnswerHead& answer) const override;
+  bool AllowsUnframed() const override { return false; }
   LoadReport ReadLoad(const Fields& fields) const override;
   bool IsFromOther(const Fields& fields, std::string_view endpoint_name) const override;
   uint16_t StatusOf(Reason reason) const override;
--- a/libs/entry/src/attempt.cc
+++ b/libs/entry/src/attempt.cc
@@ -100,7 +100,7 @@
     m_ended.wrong_endpoint = kind == AnswerKind::kWrongEndpoint;
     co_return AttemptResult::kRefused;
   }
-  if (kind != AnswerKind::kOwn)
+  if (kind != AnswerKind::kOwn || (m_response->need_eof() && !m_dialect.AllowsUnframed()))
     co_return AttemptResult::kMalformed;
   // Held whole where it is small, so that a caller never sees a part of an answer that breaks off.
   const error_code body_error = co_await ReadHeldBody();
--- /dev/null
+++ b/libs/entry/tests/fleet_link_test.cc
@@ -0,0 +1,169 @@
+#include <doctest/doctest.h>
+
+#include <chrono>
+#include <memory>
+#include <string>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <doctest/trompeloeil.hpp>
+
+#include "base/error.h"
+#include "control_sink.h"
+#include "core/state_options.h"
+#include "endpoint_json.h"
+#include "engine.h"
+#include "fleet_link.h"
+#include "http_types.h"
+#include "lists/lists.h"
+#include "manual_clock.h"
+#include "store/fleet_store.h"
+
+namespace sassafras {
+namespace {
+
+using trompeloeil::_;
+
+template <typename T>
+using Reply = boost::asio::awaitable<absl::StatusOr<T>>;
+
+/** A store of which a test says what it answers. */
+class MockFleetStore final : public FleetStore {
+ public:
+  MAKE_CONST_MOCK1(DecodePlans, absl::StatusOr<PlansReading>(std::string_view), override);
+  MAKE_MOCK1(ReadPlans, Reply<PlansReading>(Freshness), override);
+  MAKE_MOCK2(AwaitPlans, Reply<PlansReading>(uint64_t, std::chrono::milliseconds), override);
+  MAKE_MOCK0(ReadEndpoints, Reply<EndpointsReading>(), override);
+  MAKE_MOCK2(ReadEndpointChanges, Reply<EndpointsReading>(uint64_t, std::chrono::milliseconds), override);
+  MAKE_MOCK0(ReadMembers, Reply<std::vector<Member>>(), override);
+  MAKE_MOCK1(Register, boost::asio::awaitable<absl::Status>(const Member&), override);
+  MAKE_MOCK0(Unregister, boost::asio::awaitable<absl::Status>(), override);
+};
+
+/** Takes effects and does nothing. */
+class NoControl final : public ControlSink {
+ public:
+  void OnEffect(const Effect::SendProbe&) override {}
+  void OnEffect(const Effect::ReadEndpoints&) override {}
+  void OnEffect(const Effect::SendGossip&) override {}
+  void OnEffect(const Effect::FetchLists&) override {}
+  void OnEffect(const Effect::PollStore&) override {}
+  void OnEffect(const Effect::WatchStore&) override {}
+  void OnEffect(const Effect::RestoreLists&) override {}
+  void OnEffect(const Effect::ClaimSeat&) override {}
+  void OnEffect(const Effect::ReleaseSeat&) override {}
+  void OnEffect(const Effect::CloseListeners&) override {}
+};
+
+/** A peer that answers one request with a fixed body. */
+class Peer {
+ public:
+  Peer(asio::io_context& context, std::string body)
+      : m_acceptor(context, {asio::ip::address_v4::loopback(), 0}), m_body(std::move(body)) {
+    asio::co_spawn(context, Serve(), asio::detached);
+  }
+  std::string Address() const { return "127.0.0.1:" + std::to_string(m_acceptor.local_endpoint().port()); }
+
+ private:
+  asio::awaitable<void> Serve() {
+    error_code error;
+    beast::tcp_stream stream(m_acceptor.get_executor());
+    co_await m_acceptor.async_accept(stream.socket(), Awaiting(error));
+    beast::flat_buffer buffer;
+    http::request<http::empty_body> request;
+    co_await http::async_read(stream, buffer, request, Awaiting(error));
+    http::response<http::string_body> answer(http::status::ok, 11);
+    answer.body() = m_body;
+    answer.prepare_payload();
+    co_await http::async_write(stream, answer, Awaiting(error));
+  }
+
+  asio::ip::tcp::acceptor m_acceptor;
+  std::string m_body;
+};
+
+template <typename T>
+Reply<T> TurnedAway() {
+  co_return MakeError(ErrorKind::kUnreachable, "store: 503", "wait");
+}
+
+PlansReading Plans(uint64_t generation) {
+  PlansReading plans;
+  plans.generation = generation;
+  plans.lists = std::make_shared<const Lists>();
+  plans.document = "document";
+  return plans;
+}
+
+struct Fixture {
+  Fixture() { engine.SetControlSink(control); }
+
+  static StateOptions Options() {
+    StateOptions options;
+    options.discovery = true;
+    return options;
+  }
+
+  asio::io_context context;
+  ManualClock clock;
+  NoControl control;
+  Engine engine{Options(), clock};
+  std::shared_ptr<MockFleetStore> store = std::make_shared<MockFleetStore>();
+  FleetLink link{context, engine, store};
+};
+
+TEST_CASE("an instance that the store turns away takes the plans from the peer that told of them") {
+  Fixture fixture;
+  Peer peer(fixture.context, "document");
+  REQUIRE_CALL(*fixture.store, DecodePlans("document")).RETURN(Plans(7));
+  fixture.link.OnEffect(Effect::FetchLists{peer.Address(), 7});
+  fixture.context.run();
+  CHECK(fixture.engine.GetState().Generation() == 7);
+}
+
+TEST_CASE("plans of a peer that are older than those in force are passed over") {
+  Fixture fixture;
+  fixture.engine.Post(Event::ListsReceived{fixture.clock.Now(), 9, std::make_shared<const Lists>()});
+  Peer peer(fixture.context, "document");
+  REQUIRE_CALL(*fixture.store, DecodePlans("document")).RETURN(Plans(7));
+  fixture.link.OnEffect(Effect::FetchLists{peer.Address(), 0});
+  fixture.context.run();
+  CHECK(fixture.engine.GetState().Generation() == 9);
+}
+
+TEST_CASE("a peer that is gone: the store is read instead") {
+  Fixture fixture;
+  REQUIRE_CALL(*fixture.store, ReadPlans(Freshness::kLatest)).RETURN([]() -> Reply<PlansReading> {
+    co_return Plans(8);
+  }());
+  fixture.link.OnEffect(Effect::FetchLists{"127.0.0.1:1", 8});
+  fixture.context.run();
+  CHECK(fixture.engine.GetState().Generation() == 8);
+}
+
+TEST_CASE("an instance that cannot read the endpoints from the store takes them from a peer") {
+  Fixture fixture;
+  EndpointChange endpoint;
+  endpoint.row = {"e", "s", "127.0.0.1:80", "a", 6, 0};
+  endpoint.revision = 30;
+  Peer peer(fixture.context, EncodeEndpoints({endpoint}, 33, std::chrono::milliseconds(100)));
+  REQUIRE_CALL(*fixture.store, ReadEndpoints()).RETURN(TurnedAway<EndpointsReading>());
+  Effect::ReadEndpoints read;
+  read.whole = true;
+  read.peer_address = peer.Address();
+  fixture.link.OnEffect(read);
+  fixture.context.run();
+  CHECK(fixture.engine.GetState().EndpointsAsOf() == 33);
+  REQUIRE(fixture.engine.GetState().KnownEndpoints().size() == 1);
+}
+
+TEST_CASE("endpoints of a peer that cannot be read are an error, not an empty list") {
+  for (const char* text : {"", "{}", "[1]", R"({"as_of":1,"age_ms":0,"endpoints":[{"name":"e"}]})"}) {
+    CAPTURE(text);
+    CHECK_FALSE(DecodeEndpoints(text).ok());
+  }
+}
+
+}  // namespace
+}  // namespace sassafras
--- a/libs/peers/tests/gossip_codec_test.cc
+++ b/libs/peers/tests/gossip_codec_test.cc
@@ -53,6 +53,36 @@
   CHECK(again->heartbeats[47].heartbeat == 1'000'047);
 }
 
+TEST_CASE("changes of endpoints survive, and as many as one message carries fit a datagram") {
+  GossipMessage message;
+  message.sender = FullMessage().sender;
+  message.sender.store_reachable = false;
+  message.endpoints_digest = ~0ULL;
+  message.endpoints_as_of = 77;
+  message.endpoints_age = std::chrono::milliseconds(250);
+  for (uint64_t i = 0; i < 6; ++i) {
+    EndpointChange& change = message.endpoint_changes.emplace_back();
+    change.kind = EndpointChange::Kind::kLeaving;
+    change.row = {"i-0123456789ab" + std::to_string(i), "service-abcdef", "10.128.10.10:18080", "ee-north-a", 6, 0};
+    change.incarnation = 1'770'000'000'000 + i;
+    change.revision = 4'711 + i;
+    change.warmup = std::chrono::milliseconds(2'500);
+  }
+  const std::string bytes = EncodeGossip(message);
+  CHECK(bytes.size() < kMaxGossipBytes);
+  const auto again = DecodeGossip(Bytes(bytes));
+  REQUIRE(again.ok());
+  CHECK_FALSE(again->sender.store_reachable);
+  CHECK(again->endpoints_digest == message.endpoints_digest);
+  CHECK(again->endpoints_as_of == 77);
+  CHECK(again->endpoints_age == message.endpoints_age);
+  REQUIRE(again->endpoint_changes.size() == 6);
+  CHECK(again->endpoint_changes[5].row.address == message.endpoint_changes[5].row.address);
+  CHECK(again->endpoint_changes[5].kind == EndpointChange::Kind::kLeaving);
+  CHECK(again->endpoint_changes[5].revision == 4'716);
+  CHECK(again->endpoint_changes[5].warmup == message.endpoint_changes[5].warmup);
+}
+
 TEST_CASE("damaged datagrams give an error or a message, and nothing else") {
   const std::string bytes = EncodeGossip(FullMessage());
   const bool held = rc::check("damaged", [&] {
--- a/tests/process/answers_test.py
+++ b/tests/process/answers_test.py
@@ -70,7 +70,7 @@
             (b"GET /katalog HTTP/1.0\r\nHost: x\r\n\r\n", "505", "use HTTP/1.1"),
             (b"CONNECT x:1 HTTP/1.1\r\nHost: x\r\n\r\n", "501", "plain requests"),
             (b"total nonsense\r\n\r\n", "400", "bad_request"),
-            (b"GET /katalog HTTP/1.1\r\nX-Long: " + b"a" * 20000 + b"\r\n\r\n", "400", "bad_request"),
+            (b"GET /katalog HTTP/1.1\r\nX-Long: " + b"a" * 20000 + b"\r\n\r\n", "431", "bad_request"),
             (b"GET /katalog HTTP/1.1\r\nHost: x\r\nSassafras-Deadline-Ms: soon\r\n\r\n", "400", "milliseconds left"),
             (b"POST /tellimus HTTP/1.1\r\nHost: x\r\nIdempotency-Key: k\r\nContent-Length: 0\r\n\r\n", "428", "owner_missing"),
             (b"POST /tellimus HTTP/1.1\r\nHost: x\r\nIdempotency-Key: k\r\nSassafras-Owner: x\r\nContent-Length: 0\r\n\r\n",
