--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # README.md explains the targets. BUILD may name another build folder.
 BUILD ?= build
 export SASSAFRAS_BUILD = $(abspath $(BUILD))
-SOURCES = $(shell git ls-files 'libs/*.cc' 'libs/*.h' 'daemons/*.cc' 'daemons/*.h' 'tools/*.cc' 'tools/*.h' 'bench/*.cc' 'tests/*.cc' 'tests/*.h' | grep -v generated/)
+SOURCES = $(shell git ls-files 'libs/*.cc' 'libs/*.h' 'daemons/*.cc' 'daemons/*.h' 'tools/*.cc' 'tools/*.h' 'bench/*.cc' 'tests/*.cc' 'tests/*.h' 'platform/*.cc' 'platform/*.h' | grep -v generated/)
 SEED ?= 1
 MINUTES ?= 1
 
--- a/daemons/sassafrasd/main.cc
+++ b/daemons/sassafrasd/main.cc
@@ -75,7 +75,8 @@
   if (settings.ok())
     instance.Reload(*settings);
   else
-    sassafras::Log(sassafras::LogLevel::kError, "settings_unusable", {{"error", sassafras::MessageOf(settings.status())}});
+    sassafras::Log(sassafras::LogLevel::kError, "settings_unusable",
+                   {{"error", sassafras::MessageOf(settings.status())}});
 }
 
 int Run(const sassafras::Settings& settings, const std::string& path) {
--- a/libs/base/src/log.cc
+++ b/libs/base/src/log.cc
@@ -70,7 +70,8 @@
   const auto now = steady_clock::now();
   const bool first = allowance.filled_at == steady_clock::time_point();
   const double seconds = std::chrono::duration<double>(now - allowance.filled_at).count();
-  allowance.tokens = first ? budget.burst : std::min(budget.burst, allowance.tokens + seconds * budget.lines_per_second);
+  allowance.tokens =
+      first ? budget.burst : std::min(budget.burst, allowance.tokens + seconds * budget.lines_per_second);
   allowance.filled_at = now;
   return allowance;
 }
--- a/libs/core/include/core/effect.h
+++ b/libs/core/include/core/effect.h
@@ -45,6 +45,8 @@
     std::string owner_address;
     /** When to come back; zero if nothing is known. */
     std::chrono::milliseconds retry_after{};
+    /** What was known of the endpoints when that was decided; the estimate is the best one. */
+    DispatchBasis basis;
   };
   /** Give the caller a recorded answer; the call has ended. */
   struct AnswerRecorded {
--- a/libs/core/src/asking.cc
+++ b/libs/core/src/asking.cc
@@ -189,7 +189,12 @@
 }
 
 /** Makes the second attempt that the questions were asked for, where there is room and time for it. */
-void DecideHedge(Parts& parts, CallHandle handle, EndpointHandle endpoint, float estimate, TimePoint now, Effects& effects) {
+void DecideHedge(Parts& parts,
+                 CallHandle handle,
+                 EndpointHandle endpoint,
+                 float estimate,
+                 TimePoint now,
+                 Effects& effects) {
   CallState& call = *parts.calls.Find(handle);
   call.asking_for_hedge = false;
   const bool in_time = now + FloatMicros(estimate) < call.deadline;
--- a/libs/core/src/call_end.cc
+++ b/libs/core/src/call_end.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <chrono>
+#include <cmath>
+#include <limits>
 #include <random>
 #include <utility>
 
@@ -86,6 +88,25 @@
   AnswerWaiters(parts, call.record, now, effects);
 }
 
+namespace {
+
+/** What the endpoints that the call asked have said. */
+DispatchBasis BasisOf(const CallState& call) {
+  DispatchBasis basis;
+  basis.attempt = call.attempts;
+  basis.asked = call.asked_count;
+  float best = std::numeric_limits<float>::infinity();
+  for (size_t i = 0; i < call.asked_count; ++i) {
+    basis.answered += std::isinf(call.estimates_us[i]) ? 0 : 1;
+    best = std::min(best, call.estimates_us[i]);
+  }
+  if (!std::isinf(best))
+    basis.estimate = std::chrono::microseconds(static_cast<int64_t>(best));
+  return basis;
+}
+
+}  // namespace
+
 std::chrono::milliseconds RetryAfterFor(Parts& parts, Reason reason, Duration left) {
   left = std::min<Duration>(left, kMostTimeLeft);
   const auto drawn = [&](double low, double high) {
@@ -109,7 +130,8 @@
   const CallState call = *parts.calls.Find(handle);
   const bool not_run = InfoOf(reason).outcome == Outcome::kNotRun;
   CountOutcome(parts, call, not_run ? &PlanCounters::not_run : &PlanCounters::unknown, now);
-  effects.push_back(Effect::Reject{call.ticket, reason, {}, RetryAfterFor(parts, reason, call.caller_deadline - now)});
+  const auto retry_after = RetryAfterFor(parts, reason, call.caller_deadline - now);
+  effects.push_back(Effect::Reject{call.ticket, reason, {}, retry_after, BasisOf(call)});
   parts.calls.Remove(handle);
   CloseRecord(parts, call.record, reason, now, effects);
 }
--- a/libs/core/tests/discovery_test.cc
+++ b/libs/core/tests/discovery_test.cc
@@ -142,7 +142,8 @@
   fixture.Tick();
   fixture.instance.Advance(Millis(1'100));
   bool watches = false;
-  for (const auto& effect : SingleInstance::Of<Effect::WatchStore>(fixture.instance.Post(Event::Tick{fixture.instance.Now()})))
+  for (const auto& effect :
+       SingleInstance::Of<Effect::WatchStore>(fixture.instance.Post(Event::Tick{fixture.instance.Now()})))
     watches = effect.on;
   // All peers are turned away: whatever its place in the order, this instance watches at once.
   for (int i = 1; i <= 12; ++i) {
@@ -154,7 +155,8 @@
     message.sender.store_reachable = false;
     fixture.instance.Post(Event::GossipReceived{fixture.instance.Now(), message});
   }
-  for (const auto& effect : SingleInstance::Of<Effect::WatchStore>(fixture.instance.Post(Event::Tick{fixture.instance.Now()})))
+  for (const auto& effect :
+       SingleInstance::Of<Effect::WatchStore>(fixture.instance.Post(Event::Tick{fixture.instance.Now()})))
     watches = effect.on;
   CHECK(watches);
 }
--- a/libs/entry/src/attempt.cc
+++ b/libs/entry/src/attempt.cc
@@ -62,7 +62,7 @@
     ReturnIfClean();
   }
   m_connection.reset();
-  const unsigned status = m_response.has_value() ? m_response->get().result_int() : 0;
+  const unsigned status = m_response.has_value() && m_response->is_header_done() ? m_response->get().result_int() : 0;
   m_exchange.NoteEnd(m_target.name, result, status, m_engine.Now() - m_started_at);
   m_exchange.Report(*this, std::move(m_ended));
   if (result == AttemptResult::kAnswered)
--- a/libs/entry/src/call_exchange.cc
+++ b/libs/entry/src/call_exchange.cc
@@ -60,7 +60,7 @@
   co_return m_end;
 }
 
-void CallExchange::WriteLog() const {
+void CallExchange::WriteLog() {
   const State& state = m_engine.GetState();
   const std::string_view id = m_dialect.RequestId(m_request->get());
   const Duration took = m_engine.Now() - m_received_at;
@@ -69,7 +69,7 @@
   else if (m_end == End::kGone)
     m_log.WriteGone(id, state, m_plan, took);
   else
-    m_log.WriteRejected(id, state, m_plan, m_rejection.reason, took);
+    m_log.WriteRejected(id, state, m_plan, m_rejection, took);
 }
 
 void CallExchange::NoteEnd(std::string_view endpoint, AttemptResult result, unsigned status, Duration took) {
--- a/libs/entry/src/call_exchange.h
+++ b/libs/entry/src/call_exchange.h
@@ -92,7 +92,7 @@
   void OnRecorded(std::shared_ptr<const RecordedAnswer> answer) override;
 
  private:
-  void WriteLog() const;
+  void WriteLog();
   asio::awaitable<void> RunAttempt(std::shared_ptr<Attempt> attempt);
   void ArmHedge(TimePoint hedge_at);
 
--- a/libs/entry/src/call_log.cc
+++ b/libs/entry/src/call_log.cc
@@ -15,8 +15,9 @@
 constexpr unsigned kFirstFailureStatus = 500;
 
 /** By AttemptResult. */
-constexpr std::array<std::string_view, 9> kResultNames = {"answered",         "refused",   "not_sent",  "withdrawn", "broken",
-                                                          "broken_in_answer", "malformed", "timed_out", "cancelled"};
+constexpr std::array<std::string_view, 9> kResultNames = {"answered",  "refused",   "not_sent",
+                                                          "withdrawn", "broken",    "broken_in_answer",
+                                                          "malformed", "timed_out", "cancelled"};
 
 double Millis(Duration time) {
   return std::chrono::duration<double, std::milli>(time).count();
@@ -26,7 +27,8 @@
 
 void CallLog::AddAttempt(std::string_view endpoint, const DispatchBasis& basis) {
   ++m_attempts;
-  fmt::format_to(std::back_inserter(m_text), "{}{}:{} asked={}/{} estimate={:.0f}ms slowdown={:.2f} report_age={:.0f}ms;",
+  fmt::format_to(std::back_inserter(m_text),
+                 "{}{}:{} asked={}/{} estimate={:.0f}ms slowdown={:.2f} report_age={:.0f}ms;",
                  m_text.empty() ? "" : " ", basis.hedge ? "hedge" : "attempt", endpoint, basis.answered, basis.asked,
                  Millis(basis.estimate), basis.slowdown, Millis(basis.report_age));
 }
@@ -46,8 +48,16 @@
   Write(id, state, plan, "answered", fmt::format("{}{}", status, slow ? " late" : ""), took, well);
 }
 
-void CallLog::WriteRejected(std::string_view id, const State& state, PlanHandle plan, Reason reason, Duration took) const {
-  Write(id, state, plan, OutcomeName(InfoOf(reason).outcome), InfoOf(reason).name, took, false);
+void CallLog::WriteRejected(std::string_view id,
+                            const State& state,
+                            PlanHandle plan,
+                            const Effect::Reject& reject,
+                            Duration took) {
+  fmt::format_to(std::back_inserter(m_text), "{}rejected: asked={}/{} best_estimate={:.0f}ms retry_after={}ms;",
+                 m_text.empty() ? "" : " ", reject.basis.answered, reject.basis.asked, Millis(reject.basis.estimate),
+                 reject.retry_after.count());
+  const ReasonInfo& info = InfoOf(reject.reason);
+  Write(id, state, plan, OutcomeName(info.outcome), info.name, took, false);
 }
 
 void CallLog::WriteGone(std::string_view id, const State& state, PlanHandle plan, Duration took) const {
--- a/libs/entry/src/call_log.h
+++ b/libs/entry/src/call_log.h
@@ -7,6 +7,7 @@
 
 #include "base/clock.h"
 #include "core/dispatch_basis.h"
+#include "core/effect.h"
 #include "core/event.h"
 #include "core/outcome.h"
 
@@ -25,7 +26,11 @@
   /** Writes the line of a call that an endpoint answered with `status`. */
   void WriteAnswered(std::string_view id, const State& state, PlanHandle plan, unsigned status, Duration took) const;
   /** Writes the line of a call that got an error of this instance. */
-  void WriteRejected(std::string_view id, const State& state, PlanHandle plan, Reason reason, Duration took) const;
+  void WriteRejected(std::string_view id,
+                     const State& state,
+                     PlanHandle plan,
+                     const Effect::Reject& reject,
+                     Duration took);
   /** Writes the line of a call whose caller went away. */
   void WriteGone(std::string_view id, const State& state, PlanHandle plan, Duration took) const;
 
--- a/libs/entry/src/entry_instance.cc
+++ b/libs/entry/src/entry_instance.cc
@@ -144,10 +144,7 @@
       return *m_surroundings.dialect;
     return m_native_dialect;
   }
-  absl::Status Listen(const std::string& address,
-                      std::string_view setting,
-                      SessionKind kind,
-                      const AdminPages& pages);
+  absl::Status Listen(const std::string& address, std::string_view setting, SessionKind kind, const AdminPages& pages);
   asio::awaitable<void> Accept(Listener& listener);
   asio::awaitable<void> Serve(asio::ip::tcp::socket socket, const Listener& listener);
   void ScheduleTick();
--- a/libs/entry/tests/caller_session_test.cc
+++ b/libs/entry/tests/caller_session_test.cc
@@ -29,7 +29,8 @@
     caller.connect(acceptor.local_endpoint());
     session = std::make_shared<CallerSession>(acceptor.accept(), engine, pool, dialect, admin, SessionKind::kCalls,
                                               std::chrono::milliseconds(100));
-    asio::co_spawn(context, [kept = session] { return kept->Run(); }, asio::detached);
+    asio::co_spawn(
+        context, [kept = session] { return kept->Run(); }, asio::detached);
     context.poll();
   }
 
