--- a/daemons/sassafrasd/main.cc
+++ b/daemons/sassafrasd/main.cc
@@ -11,13 +11,14 @@
 #include <popt.h>
 
 #include "base/error.h"
-#include "base/log.h"
 #include "base/system_clock.h"
+#include "base/toml_reader.h"
 #include "entry/entry_instance.h"
 #include "platform/entry_pages.h"
 #include "platform/kv_fleet_store.h"
 #include "platform/wire_dialect.h"
 #include "settings/settings.h"
+#include "settings_file.h"
 
 namespace {
 
@@ -69,16 +70,6 @@
   return surroundings;
 }
 
-/** Reads the settings file again; a file that cannot be used changes nothing. */
-void Reload(const std::string& path, sassafras::EntryInstance& instance) {
-  const auto settings = sassafras::LoadSettings(path);
-  if (settings.ok())
-    instance.Reload(*settings);
-  else
-    sassafras::Log(sassafras::LogLevel::kError, "settings_unusable",
-                   {{"error", sassafras::MessageOf(settings.status())}});
-}
-
 int Run(const sassafras::Settings& settings, const std::string& path) {
   // A peer that closes its connection must not end the process.
   std::signal(SIGPIPE, SIG_IGN);
@@ -89,13 +80,15 @@
     fmt::print(stderr, "sassafrasd: {}\n", sassafras::MessageOf(status));
     return kExitSockets;
   }
+  sassafras::SettingsFile file(context, path, sassafras::ReadFile(path).value_or(""), instance);
+  file.Watch();
   boost::asio::signal_set signals(context, SIGTERM, SIGINT, SIGHUP);
   const std::function<void()> wait = [&] {
     signals.async_wait([&](boost::system::error_code error, int signal) {
       if (error)
         return;
       if (signal == SIGHUP)
-        Reload(path, instance);
+        file.Reload();
       else
         instance.RequestStop();
       // A second signal is taken too, and cuts nothing off.
--- a/libs/settings/src/settings.cc
+++ b/libs/settings/src/settings.cc
@@ -2,6 +2,7 @@
 
 #include <array>
 
+#include "base/error.h"
 #include "base/toml_reader.h"
 
 namespace sassafras {
@@ -60,6 +61,10 @@
   settings.late_binding = reader.Word("late_binding", {"on", "off"}, 0) == 0;
   if (absl::Status status = reader.Finish(); !status.ok())
     return status;
+  if (settings.store == StoreKind::kPlatform && settings.platform.size() != 1) {
+    return MakeError(ErrorKind::kInvalidValue, std::string(file_name) + ": store = \"platform\" needs one address",
+                     "set platform = [\"IP:PORT\"]");
+  }
   return settings;
 }
 
--- a/libs/settings/tests/settings_test.cc
+++ b/libs/settings/tests/settings_test.cc
@@ -20,6 +20,21 @@
   CHECK(settings->late_binding);
 }
 
+TEST_CASE("the users' platform is named by one address") {
+  const std::string without =
+      "instance = \"e\"\nfailure_domain = \"a\"\nlisten = \"127.0.0.1:1\"\n"
+      "peer_listen = \"127.0.0.1:2\"\nstore = \"platform\"\n";
+  const auto missing = ParseSettings(without, "s.toml");
+  REQUIRE_FALSE(missing.ok());
+  CHECK(MessageOf(missing.status()).find("needs one address") != std::string::npos);
+  const auto named =
+      ParseSettings(without + "platform = [\"127.0.0.1:3\"]\nask_first = \"on\"\nkill_after = \"6s\"\n", "s.toml");
+  REQUIRE(named.ok());
+  CHECK(named->store == StoreKind::kPlatform);
+  CHECK(named->ask_first);
+  CHECK(named->kill_after == std::chrono::seconds(6));
+}
+
 TEST_CASE("each mistake gets one line with file, line and remedy") {
   const std::pair<std::string, std::string> rows[] = {
       {kValid + "colour = \"red\"\n", "s.toml line 6: unknown key 'colour'; remove it or use one of:"},
