--- a/libs/core/src/asking.cc
+++ b/libs/core/src/asking.cc
@@ -30,9 +30,7 @@
 /** Pause before a call asks again that found no endpoint with room. */
 constexpr milliseconds kAskAgain{12};
 /** Part of its objective by which an attempt of a call should be done, by the estimate. */
-constexpr float kObjectivePart = 0.85F;
-/** Part of the time left that a returned caller's attempt may take, by the estimate. */
-constexpr float kTimeLeftPart = 0.7F;
+constexpr float kObjectivePart = 0.75F;
 /** A second attempt beside the first is made only where no more than this share of slots is in use. */
 constexpr float kHedgeShare = 0.6F;
 /** Part of the fleet's questions that is used, and how long questions may be saved up. */
@@ -202,13 +200,12 @@
     Hedge(parts, handle, endpoint, now, effects);
 }
 
-/** How long an attempt may take that is worth making now. */
+/** How long an attempt may take that is worth making where few slots are free. */
 float TimeWorthTaking(Parts& parts, const CallState& call, TimePoint now) {
   const float left = FloatMicros(call.deadline - now).count();
   const float objective = FloatMicros(parts.At(call.plan).row.objective_latency).count();
   const float used = FloatMicros(now - call.arrived).count();
-  const float in_objective = kObjectivePart * objective - used;
-  return call.returned || in_objective <= 0 ? kTimeLeftPart * left : std::min(left, in_objective);
+  return std::min(left, kObjectivePart * objective - used);
 }
 
 /** Lets the call ask again after a pause; false if it has waited as long as it should. */
@@ -235,7 +232,8 @@
   const float usual = UsualLatency(parts, call);
   if (answered && estimate > kGoodEnough * usual && AskAgainLater(parts, handle, now, effects))
     return;
-  // The time that such an attempt takes is better spent on calls that can still be answered in time.
+  // With few free slots left, they go to calls that are still answered in time: those that came back after a refusal
+  // have no precedence, or they would make the others late as well.
   if (answered && estimate > TimeWorthTaking(parts, call, now) && AskedShare(call, endpoint) > 1.0F) {
     EndRejected(parts, handle, call.may_have_run ? Reason::kConnectionBroken : Reason::kOverloaded, now, effects);
     return;
--- a/libs/core/src/call_state.h
+++ b/libs/core/src/call_state.h
@@ -53,8 +53,6 @@
   std::array<float, kMaxAsked> asked_shares{};
   /** Whether the call waits to ask once more. */
   bool pausing = false;
-  /** Whether the caller was refused before and has come back, to judge by the time that it has left. */
-  bool returned = false;
   TimePoint asked_at{};
   TimePoint decide_at{};
   /** Idempotency record that this call runs for or waits for. */
--- a/libs/core/src/calls.cc
+++ b/libs/core/src/calls.cc
@@ -14,9 +14,6 @@
 using Stage = CallState::Stage;
 using Record = IdempotencyTable::Record;
 
-/** A caller that gives less than this part of the usual time has tried before. */
-constexpr double kReturnedPart = 0.93;
-
 void Reject(Parts& parts, const Event::CallArrived& event, Reason reason, Effects& effects) {
   effects.push_back(Effect::Reject{event.ticket, reason, {}, RetryAfterFor(parts, reason, event.limit)});
 }
@@ -30,14 +27,6 @@
   Reject(parts, event, reason, effects);
 }
 
-/** Whether a caller that gives `limit` was probably refused before. */
-bool HasReturned(PlanState& plan, Duration limit) {
-  if (limit == Duration::max())
-    return false;
-  plan.usual_limit = std::max(plan.usual_limit, limit);
-  return limit < plan.usual_limit * kReturnedPart;
-}
-
 CallHandle Accept(Parts& parts, const Event::CallArrived& event, Effects& effects) {
   const CallHandle handle = parts.calls.Add();
   CallState& call = *parts.calls.Find(handle);
@@ -49,7 +38,6 @@
   const Duration limit = std::min<Duration>(event.limit, parts.At(event.plan).row.deadline);
   call.deadline = event.now + limit;
   call.caller_deadline = event.now + std::min<Duration>(event.limit, std::chrono::hours(1));
-  call.returned = HasReturned(parts.At(event.plan), event.limit);
   effects.push_back(Effect::Accepted{event.ticket, handle});
   return handle;
 }
--- a/libs/core/src/plan_state.h
+++ b/libs/core/src/plan_state.h
@@ -3,7 +3,6 @@
 #include <memory>
 #include <vector>
 
-#include "base/clock.h"
 #include "base/handle.h"
 #include "burn_ring.h"
 #include "core/plan_counters.h"
@@ -21,8 +20,6 @@
   uint32_t next_round_robin = 0;
   /** Running estimate of the 95th percentile of answer latency; 0 before the first answer. */
   float p95_us = 0;
-  /** Longest time that callers gave; one that gives much less has tried before. */
-  Duration usual_limit{};
   /** Virtual finish time for fair queueing between plans of one priority. */
   double virtual_finish = 0;
   PlanCounters totals;
--- a/libs/core/tests/asking_test.cc
+++ b/libs/core/tests/asking_test.cc
@@ -111,6 +111,20 @@
   CHECK(waited <= Millis(400) / 8);
 }
 
+TEST_CASE("a crest with few free slots: callers that came back after a refusal have no precedence") {
+  for (const Millis limit : {Millis(2'000), Millis(1'300)}) {
+    CAPTURE(limit.count());
+    SingleInstance instance;
+    WithEndpoints(instance, 6, 0);
+    // One caller with the whole time left, so that the next one's shorter time shows.
+    Duration waited{};
+    AskToTheEnd(instance, instance.Call(), 0, waited);
+    const Effects effects = AskToTheEnd(instance, instance.Call(limit), 11, waited);
+    CHECK(SingleInstance::Of<Dispatch>(effects).empty());
+    CHECK(SingleInstance::Of<Reject>(effects).size() == 1);
+  }
+}
+
 TEST_CASE("a change of the lists while a call asks: nothing goes to a service that the plan no longer uses") {
   SingleInstance instance;
   WithEndpoints(instance, 3, 3);
