--- a/libs/core/src/control.cc
+++ b/libs/core/src/control.cc
@@ -131,6 +131,11 @@
 void RefreshRoles(Parts& parts, TimePoint now, Effects& effects) {
   parts.next_role_check = now + kRolePeriod;
   parts.members.Expire(now);
+  const size_t fleet = parts.members.CountServing(now);
+  if (fleet > parts.largest_fleet) {
+    parts.largest_fleet = fleet;
+    SetBudgets(parts);
+  }
   parts.quarantine.Expire(now);
   parts.rumors.Expire(now);
   parts.records.Expire(parts.EpochAt(now));
--- a/libs/core/src/lists_apply.cc
+++ b/libs/core/src/lists_apply.cc
@@ -58,18 +58,28 @@
 }
 
 void SetBudgets(Parts& parts) {
-  const double share = parts.options.retry_slack / std::max(1.0, static_cast<double>(parts.options.fleet_limit));
+  // Half for each, so that retries and hedges together stay within what the fleet may spend. A bucket that could never
+  // hold one token would be of no use: what it holds beyond the share has been earned by calls.
+  const double earn = parts.options.retry_ratio / 2;
+  const double share = parts.options.retry_slack / parts.FleetShare() / 2;
+  const double limit = std::max(1.0, share);
   for (ServiceState& service : parts.services) {
-    if (service.retry_budget.IsSet())
-      continue;
-    // Half of the fleet's ratio for each, so that retries and hedges together stay within it.
-    service.retry_budget = TokenBucket(parts.options.retry_ratio / 2, share / 2);
-    service.hedge_budget = TokenBucket(parts.options.retry_ratio / 2, share / 2);
+    for (TokenBucket* bucket : {&service.retry_budget, &service.hedge_budget}) {
+      if (bucket->IsSet())
+        bucket->SetLimit(limit, share);
+      else
+        *bucket = TokenBucket(earn, limit, share);
+    }
   }
 }
 
 namespace {
 
+/** This instance's part of the connections that an endpoint accepts. */
+uint32_t ConnectionShare(const Parts& parts, uint32_t connections) {
+  return std::max(1u, static_cast<uint32_t>(connections / parts.FleetShare()));
+}
+
 void ApplyEndpoints(Parts& parts, const Lists& lists, TimePoint now) {
   // Endpoints of the first lists have served before this instance started.
   const bool ramp = parts.phase != Phase::kStarting;
@@ -82,7 +92,7 @@
     const EndpointHandle handle = parts.endpoints.Upsert(row, service, now, ramp);
     EndpointState& state = parts.At(handle);
     state.same_domain = row.failure_domain == parts.self.failure_domain;
-    state.connection_limit = std::max(1u, row.connections / parts.options.fleet_limit);
+    state.connection_limit = ConnectionShare(parts, row.connections);
     parts.At(service).endpoints.push_back(handle);
   }
 }
@@ -205,8 +215,7 @@
     state.leaving = known.change.kind == EndpointChange::Kind::kLeaving;
     state.cold_until = known.cold_until;
     state.same_domain = known.change.row.failure_domain == parts.self.failure_domain;
-    const uint32_t connections = parts.At(service).row.connections;
-    state.connection_limit = std::max(1u, connections / parts.options.fleet_limit);
+    state.connection_limit = ConnectionShare(parts, parts.At(service).row.connections);
     parts.At(service).endpoints.push_back(handle);
   }
   RefreshCandidates(parts);
--- a/libs/core/src/lists_apply.h
+++ b/libs/core/src/lists_apply.h
@@ -10,7 +10,7 @@
 /** Puts lists into force. Calls in progress and what was learned of unchanged rows stay. */
 void ApplyLists(Parts& parts, const Lists& lists, TimePoint now);
 
-/** Gives each service that has none its part of what the fleet may spend on extra attempts. */
+/** Gives each service its part of what the fleet may spend on extra attempts. */
 void SetBudgets(Parts& parts);
 
 /** Gives every service a new budget, after the settings have changed. */
--- a/libs/core/src/parts.h
+++ b/libs/core/src/parts.h
@@ -65,6 +65,10 @@
   uint64_t probes_sent = 0;
   /** Whether a new fact waits to be sent before the next gossip round. */
   bool gossip_now = false;
+  /** Largest number of serving instances seen since the start. */
+  size_t largest_fleet = 0;
+  /** Number of instances among which shared limits are divided: never fewer than there may be. */
+  double FleetShare() const;
 
   TimePoint last_tick{};
   TimePoint next_gossip{};
--- a/libs/core/src/state.cc
+++ b/libs/core/src/state.cc
@@ -38,6 +38,10 @@
   return kNone;
 }
 
+double Parts::FleetShare() const {
+  return static_cast<double>(std::max<size_t>({1, options.fleet_limit, largest_fleet}));
+}
+
 uint32_t Parts::EpochAt(TimePoint now) const {
   return static_cast<uint32_t>((now - options.start) / IdempotencyTable::kEpochLength);
 }
--- a/libs/core/src/token_bucket.h
+++ b/libs/core/src/token_bucket.h
@@ -11,11 +11,17 @@
   TokenBucket() = default;
   /**
    * @param earn   tokens gained with each call
-   * @param limit  tokens held at most; also the start
+   * @param limit  tokens held at most
+   * @param start  tokens held at first
    */
-  TokenBucket(double earn, double limit) : m_earn(earn), m_limit(limit), m_tokens(limit) {}
+  TokenBucket(double earn, double limit, double start) : m_earn(earn), m_limit(limit), m_tokens(start) {}
 
   bool IsSet() const { return m_limit > 0; }
+  /** Changes how many tokens are held at most, and lowers those held now to `held`. */
+  void SetLimit(double limit, double held) {
+    m_limit = limit;
+    m_tokens = std::min(m_tokens, held);
+  }
   void Earn() { m_tokens = std::min(m_limit, m_tokens + m_earn); }
   /** Takes `cost` tokens if they are there. */
   bool Spend(double cost) {
--- a/libs/core/tests/asking_test.cc
+++ b/libs/core/tests/asking_test.cc
@@ -2,6 +2,7 @@
 
 #include <string>
 
+#include "core/gossip_message.h"
 #include "single_instance.h"
 
 namespace sassafras {
@@ -157,5 +158,40 @@
   CHECK(asked > 0);
 }
 
+TEST_CASE("a fleet larger than the settings say: extra attempts stay within the budget that all share") {
+  StateOptions options;
+  options.retry_ratio = 0;
+  options.retry_slack = 100;
+  options.fleet_limit = 2;
+  SingleInstance instance(options);
+  WithEndpoints(instance, 4, 0);
+  constexpr int kPeers = 99;
+  for (int i = 1; i <= kPeers; ++i) {
+    GossipMessage message;
+    message.sender.name = "peer" + std::to_string(i);
+    message.sender.incarnation = 1;
+    message.sender.peer_address = "127.0.0.1:" + std::to_string(i);
+    instance.Post(Event::GossipReceived{instance.Now(), message});
+  }
+  instance.Post(Event::Tick{instance.Now()});
+  size_t retries = 0;
+  for (int i = 0; i < 20; ++i) {
+    const auto probes = SingleInstance::Of<Probe>(instance.Call());
+    REQUIRE_FALSE(probes.empty());
+    REQUIRE(SingleInstance::Of<Dispatch>(instance.Answer(probes[0], 0, 1.0F)).size() == 1);
+    Event::AttemptEnded ended;
+    ended.now = instance.Now();
+    ended.call = probes[0].call;
+    ended.endpoint = probes[0].endpoint;
+    ended.result = AttemptResult::kRefused;
+    retries += SingleInstance::Of<Probe>(instance.Post(ended)).empty() ? 0 : 1;
+    for (int step = 0; step < 8; ++step) {
+      instance.Advance(Millis(500));
+      instance.Post(Event::Tick{instance.Now()});
+    }
+  }
+  CHECK(retries <= static_cast<size_t>(options.retry_slack) / (kPeers + 1));
+}
+
 }  // namespace
 }  // namespace sassafras
--- a/libs/entry/tests/fleet_link_test.cc
+++ b/libs/entry/tests/fleet_link_test.cc
@@ -10,7 +10,6 @@
 #include <doctest/trompeloeil.hpp>
 
 #include "base/error.h"
-#include "control_sink.h"
 #include "core/state_options.h"
 #include "endpoint_json.h"
 #include "engine.h"
@@ -18,6 +17,7 @@
 #include "http_types.h"
 #include "lists/lists.h"
 #include "manual_clock.h"
+#include "no_control.h"
 #include "store/fleet_store.h"
 
 namespace sassafras {
@@ -41,21 +41,6 @@
   MAKE_MOCK0(Unregister, boost::asio::awaitable<absl::Status>(), override);
 };
 
-/** Takes effects and does nothing. */
-class NoControl final : public ControlSink {
- public:
-  void OnEffect(const Effect::SendProbe&) override {}
-  void OnEffect(const Effect::ReadEndpoints&) override {}
-  void OnEffect(const Effect::SendGossip&) override {}
-  void OnEffect(const Effect::FetchLists&) override {}
-  void OnEffect(const Effect::PollStore&) override {}
-  void OnEffect(const Effect::WatchStore&) override {}
-  void OnEffect(const Effect::RestoreLists&) override {}
-  void OnEffect(const Effect::ClaimSeat&) override {}
-  void OnEffect(const Effect::ReleaseSeat&) override {}
-  void OnEffect(const Effect::CloseListeners&) override {}
-};
-
 /** A peer that answers one request with a fixed body. */
 class Peer {
  public:
--- /dev/null
+++ b/libs/entry/tests/no_control.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include "control_sink.h"
+
+namespace sassafras {
+
+/** Takes effects and does nothing. */
+class NoControl final : public ControlSink {
+ public:
+  void OnEffect(const Effect::SendProbe&) override {}
+  void OnEffect(const Effect::ReadEndpoints&) override {}
+  void OnEffect(const Effect::SendGossip&) override {}
+  void OnEffect(const Effect::FetchLists&) override {}
+  void OnEffect(const Effect::PollStore&) override {}
+  void OnEffect(const Effect::WatchStore&) override {}
+  void OnEffect(const Effect::RestoreLists&) override {}
+  void OnEffect(const Effect::ClaimSeat&) override {}
+  void OnEffect(const Effect::ReleaseSeat&) override {}
+  void OnEffect(const Effect::CloseListeners&) override {}
+};
+
+}  // namespace sassafras
--- a/libs/entry/tests/platform_link_test.cc
+++ b/libs/entry/tests/platform_link_test.cc
@@ -9,12 +9,12 @@
 #include <boost/asio/io_context.hpp>
 
 #include "base/error.h"
-#include "control_sink.h"
 #include "core/state_options.h"
 #include "engine.h"
 #include "lists/lists_document.h"
 #include "manual_clock.h"
 #include "mock_platform.h"
+#include "no_control.h"
 #include "peers/peer_rpc.h"
 
 namespace sassafras {
@@ -22,21 +22,6 @@
 
 using trompeloeil::_;
 
-/** Takes effects and does nothing. */
-class NoControl final : public ControlSink {
- public:
-  void OnEffect(const Effect::SendProbe&) override {}
-  void OnEffect(const Effect::ReadEndpoints&) override {}
-  void OnEffect(const Effect::SendGossip&) override {}
-  void OnEffect(const Effect::FetchLists&) override {}
-  void OnEffect(const Effect::PollStore&) override {}
-  void OnEffect(const Effect::WatchStore&) override {}
-  void OnEffect(const Effect::RestoreLists&) override {}
-  void OnEffect(const Effect::ClaimSeat&) override {}
-  void OnEffect(const Effect::ReleaseSeat&) override {}
-  void OnEffect(const Effect::CloseListeners&) override {}
-};
-
 template <typename T>
 boost::asio::awaitable<absl::StatusOr<T>> Ready(T value) {
   co_return value;
