--- a/daemons/sassafrasd/main.cc
+++ b/daemons/sassafrasd/main.cc
@@ -4,6 +4,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <utility>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
@@ -70,7 +71,7 @@
   return surroundings;
 }
 
-int Run(const sassafras::Settings& settings, const std::string& path) {
+int Run(const sassafras::Settings& settings, const std::string& path, std::string text) {
   // A peer that closes its connection must not end the process.
   std::signal(SIGPIPE, SIG_IGN);
   boost::asio::io_context context(1);
@@ -80,7 +81,7 @@
     fmt::print(stderr, "sassafrasd: {}\n", sassafras::MessageOf(status));
     return kExitSockets;
   }
-  sassafras::SettingsFile file(context, path, sassafras::ReadFile(path).value_or(""), instance);
+  sassafras::SettingsFile file(context, path, std::move(text), instance);
   file.Watch();
   boost::asio::signal_set signals(context, SIGTERM, SIGINT, SIGHUP);
   const std::function<void()> wait = [&] {
@@ -110,7 +111,9 @@
   Arguments arguments;
   if (const int code = ParseArguments(argc, argv, arguments); code >= 0)
     return code;
-  const auto settings = sassafras::LoadSettings(arguments.settings_path);
+  auto text = sassafras::ReadFile(arguments.settings_path);
+  const auto settings = text.ok() ? sassafras::ParseSettings(*text, arguments.settings_path)
+                                  : absl::StatusOr<sassafras::Settings>(text.status());
   if (!settings.ok()) {
     fmt::print(stderr, "sassafrasd: {}\n", sassafras::MessageOf(settings.status()));
     return kExitSettings;
@@ -119,5 +122,5 @@
     fmt::print("{}: settings are valid\n", arguments.settings_path);
     return 0;
   }
-  return Run(*settings, arguments.settings_path);
+  return Run(*settings, arguments.settings_path, *std::move(text));
 }
--- a/libs/core/src/discovery.cc
+++ b/libs/core/src/discovery.cc
@@ -5,6 +5,7 @@
 #include <memory>
 #include <random>
 
+#include "base/backoff.h"
 #include "control.h"
 #include "core/gossip_message.h"
 #include "gossip.h"
@@ -15,7 +16,6 @@
 namespace {
 
 using std::chrono::milliseconds;
-using std::chrono::seconds;
 
 /** Time for entries that lapsed while the store was away to come back. */
 constexpr milliseconds kLapseGrace{2'000};
@@ -30,9 +30,8 @@
 constexpr milliseconds kProofStale{3'500};
 /** How long peers may hold other endpoints before an instance reads the store itself. */
 constexpr milliseconds kDiffersLimit{1'000};
-/** Bounds of the pause between reads of a store that does not answer. */
+/** Pause between reads of a starting instance. */
 constexpr milliseconds kFirstPause{200};
-constexpr milliseconds kMaxPause{1'600};
 /** Changes in one datagram. */
 constexpr size_t kChangesPerMessage = 6;
 
@@ -52,11 +51,6 @@
   }
 }
 
-Duration PauseAfterFailures(uint32_t failures) {
-  constexpr uint32_t kMaxShift = 3;
-  return std::min<Duration>(kMaxPause, kFirstPause * (1u << std::min(failures, kMaxShift)));
-}
-
 bool IsReader(Parts& parts, TimePoint now) {
   return parts.members.RankForReaching(kReaderPurpose, parts.self_hash, now) < kReaders;
 }
@@ -67,7 +61,7 @@
   bool& whole = read.whole;
   whole = feed.as_of == 0;
   const Duration since = now - feed.last_read;
-  if (feed.failures > 0 && since < PauseAfterFailures(feed.failures))
+  if (feed.failures > 0 && since < StorePauseAfter(feed.failures))
     return false;
   if (whole)
     return since >= kFirstPause;
--- a/libs/core/tests/discovery_test.cc
+++ b/libs/core/tests/discovery_test.cc
@@ -45,6 +45,19 @@
     instance.Post(Event::GossipReceived{instance.Now(), std::move(message)});
   }
 
+  /** Peers tell of themselves, and whether they reach the store. */
+  void HearPeers(int count, uint32_t heartbeat, bool reaching) {
+    for (int i = 1; i <= count; ++i) {
+      GossipMessage message;
+      message.sender.name = "peer" + std::to_string(i);
+      message.sender.incarnation = 1;
+      message.sender.heartbeat = heartbeat;
+      message.sender.peer_address = "127.0.0.1:" + std::to_string(i);
+      message.sender.store_reachable = reaching;
+      instance.Post(Event::GossipReceived{instance.Now(), message});
+    }
+  }
+
   SingleInstance instance;
 };
 
@@ -128,14 +141,7 @@
 
 TEST_CASE("an instance that the store turns away tells all peers, and another one watches in its place") {
   Fixture fixture;
-  for (int i = 1; i <= 12; ++i) {
-    GossipMessage message;
-    message.sender.name = "peer" + std::to_string(i);
-    message.sender.incarnation = 1;
-    message.sender.heartbeat = 1;
-    message.sender.peer_address = "127.0.0.1:" + std::to_string(i);
-    fixture.instance.Post(Event::GossipReceived{fixture.instance.Now(), message});
-  }
+  fixture.HearPeers(12, 1, true);
   const Effects& told = fixture.instance.Post(Event::StoreRead{fixture.instance.Now(), false});
   CHECK(SingleInstance::Of<Effect::SendGossip>(told).size() == 12);
   fixture.StoreAnswers(true);
@@ -146,15 +152,7 @@
        SingleInstance::Of<Effect::WatchStore>(fixture.instance.Post(Event::Tick{fixture.instance.Now()})))
     watches = effect.on;
   // All peers are turned away: whatever its place in the order, this instance watches at once.
-  for (int i = 1; i <= 12; ++i) {
-    GossipMessage message;
-    message.sender.name = "peer" + std::to_string(i);
-    message.sender.incarnation = 1;
-    message.sender.heartbeat = 2;
-    message.sender.peer_address = "127.0.0.1:" + std::to_string(i);
-    message.sender.store_reachable = false;
-    fixture.instance.Post(Event::GossipReceived{fixture.instance.Now(), message});
-  }
+  fixture.HearPeers(12, 2, false);
   for (const auto& effect :
        SingleInstance::Of<Effect::WatchStore>(fixture.instance.Post(Event::Tick{fixture.instance.Now()})))
     watches = effect.on;
--- a/libs/entry/src/fleet_link.cc
+++ b/libs/entry/src/fleet_link.cc
@@ -6,6 +6,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
+#include "base/backoff.h"
 #include "base/error.h"
 #include "base/log.h"
 #include "core/state.h"
@@ -23,10 +24,6 @@
 
 /** How long a watch waits for a change of the plans; its end proves that there was none. */
 constexpr milliseconds kWatchWait{2'500};
-/** Bounds of the pause after a watch that failed. */
-constexpr milliseconds kFirstPause{200};
-constexpr milliseconds kMaxPause{1'600};
-constexpr uint32_t kMaxPauseShift = 3;
 /** How often a registration is renewed, and how soon after a failure it is tried again. */
 constexpr std::chrono::seconds kRenewPeriod{12};
 constexpr std::chrono::seconds kRegisterRetry{2};
@@ -202,10 +199,7 @@
       TakePlans(*reading);
       continue;
     }
-    const Duration pause =
-        std::min<Duration>(kMaxPause, kFirstPause * (1u << std::min(m_watch_failures, kMaxPauseShift)));
-    ++m_watch_failures;
-    co_await Pause(pause);
+    co_await Pause(StorePauseAfter(m_watch_failures++));
   }
   m_watch_running = false;
 }
