Compare what peers know of leaving endpoints, so that one that starts knows at once

Cause: marks that an instance knew before another one started reached the new one only as the one old fact in each gossip message, drawn at random; with much to tell that took seconds, and it sent requests to leaving endpoints (traced in: i2 started 0.3 s before the sign that i1, which had known the mark for 14 s, got again). Change: gossip carries a digest of marks and returns; on a difference the receiver asks for all of them. Test: 'an instance that starts learns at once which endpoints leave' failed in 9 of 10 worlds before, passes now.

--- a/libs/core/include/core/gossip_message.h
+++ b/libs/core/include/core/gossip_message.h
@@ -47,6 +47,8 @@
   /** Hash over the endpoints that the sender knows of, and the store's revision it knows them up to. */
   uint64_t endpoints_digest = 0;
   uint64_t endpoints_as_of = 0;
+  /** Hash over the incarnations that the sender knows to leave or to be back; equal where peers know the same. */
+  uint64_t leaving_digest = 0;
   /** Age of the newest proof, seen by anyone, of what endpoints the store lists. */
   std::chrono::milliseconds endpoints_age{};
   /** Endpoints that changed a moment ago. */
--- a/libs/core/src/gossip.cc
+++ b/libs/core/src/gossip.cc
@@ -30,6 +30,8 @@
 constexpr uint64_t kSilentPeerRounds = 8;
 /** Lists are asked for at most this often. */
 constexpr milliseconds kFetchPeriod{200};
+/** News of leaving endpoints is compared with that of a peer at most this often. */
+constexpr milliseconds kComparePeriod{100};
 /** Load reports older than this are not passed on. */
 constexpr milliseconds kMaxLoadAge{200};
 /** Own reports younger than this are not replaced by a peer's. */
@@ -112,6 +114,7 @@
   message->store_age = duration_cast<milliseconds>(now - parts.lists.store_confirmed_at);
   message->endpoints_digest = parts.feed.Digest();
   message->endpoints_as_of = parts.feed.as_of;
+  message->leaving_digest = parts.rumors.LeavingDigest();
   message->endpoints_age = duration_cast<milliseconds>(now - parts.feed.confirmed_at);
   return message;
 }
@@ -130,10 +133,25 @@
 
 /** Answers a peer that asked for all that is known here. */
 void Reply(Parts& parts, const GossipMessage& question, TimePoint now, Effects& effects) {
-  std::shared_ptr<GossipMessage> message = StartMessage(parts, now);
-  message->reply_to = question.ask;
-  parts.rumors.Peek(kRumorsPerReply, now, message->rumors);
-  effects.push_back(Effect::SendGossip{question.sender.peer_address, std::move(message)});
+  size_t told = 0;
+  do {
+    std::shared_ptr<GossipMessage> message = StartMessage(parts, now);
+    message->reply_to = question.ask;
+    parts.rumors.Peek(told, kRumorsPerReply, now, message->rumors);
+    effects.push_back(Effect::SendGossip{question.sender.peer_address, std::move(message)});
+    told += kRumorsPerReply;
+  } while (told < parts.rumors.Size());
+}
+
+/** Asks a peer for all that it knows if it knows of other leaving endpoints: it started, or one of the two was cut. */
+void AskIfDifferent(Parts& parts, const GossipMessage& message, TimePoint now, Effects& effects) {
+  const bool same = message.leaving_digest == parts.rumors.LeavingDigest();
+  if (same || message.reply_to != 0 || now - parts.last_compared < kComparePeriod)
+    return;
+  parts.last_compared = now;
+  std::shared_ptr<GossipMessage> question = StartMessage(parts, now);
+  question->ask = parts.random();
+  effects.push_back(Effect::SendGossip{message.sender.peer_address, std::move(question)});
 }
 
 /** Tells peers that suspect a request that it was answered here; returns whether it was. */
@@ -212,6 +230,7 @@
   LearnEndpointsFromPeer(parts, message, event.now);
   if (message.ask != 0)
     Reply(parts, message, event.now, effects);
+  AskIfDifferent(parts, message, event.now, effects);
   ListsTracker& lists = parts.lists;
   const bool confirms = message.reply_to != 0 && message.reply_to == lists.asked;
   const bool same_endpoints = !parts.options.discovery || message.endpoints_digest == parts.feed.Digest();
--- a/libs/core/src/parts.h
+++ b/libs/core/src/parts.h
@@ -70,6 +70,8 @@
   /** Number of instances among which shared limits are divided: never fewer than there may be. */
   double FleetShare() const;
 
+  /** When a peer was last asked because it knew of other leaving endpoints. */
+  TimePoint last_compared{};
   TimePoint last_tick{};
   TimePoint next_gossip{};
   TimePoint next_probe_check{};
--- a/libs/core/src/rumor_board.cc
+++ b/libs/core/src/rumor_board.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "base/hash.h"
+
 namespace sassafras {
 
 using std::chrono::milliseconds;
@@ -45,10 +47,21 @@
   Append(m_rumors[random() % m_rumors.size()], now, out);
 }
 
-void RumorBoard::Peek(size_t count, TimePoint now, std::vector<GossipMessage::Rumor>& out) const {
-  const size_t limit = out.size() + count;
-  for (auto entry = m_rumors.rbegin(); entry != m_rumors.rend() && out.size() < limit; ++entry)
-    Append(*entry, now, out);
+void RumorBoard::Peek(size_t first, size_t count, TimePoint now, std::vector<GossipMessage::Rumor>& out) const {
+  const size_t end = std::min(m_rumors.size(), first + count);
+  for (size_t i = first; i < end; ++i)
+    Append(m_rumors[m_rumors.size() - 1 - i], now, out);
+}
+
+uint64_t RumorBoard::LeavingDigest() const {
+  using Kind = GossipMessage::Rumor::Kind;
+  uint64_t digest = 0;
+  for (const Entry& entry : m_rumors) {
+    const GossipMessage::Rumor& rumor = entry.rumor;
+    if (rumor.kind == Kind::kLeaving || rumor.kind == Kind::kReturned)
+      digest ^= HashCombine(HashCombine(static_cast<uint64_t>(rumor.kind) + 1, rumor.subject), rumor.detail);
+  }
+  return digest;
 }
 
 void RumorBoard::Expire(TimePoint now) {
--- a/libs/core/src/rumor_board.h
+++ b/libs/core/src/rumor_board.h
@@ -19,8 +19,10 @@
   bool Add(const GossipMessage::Rumor& rumor, TimePoint now);
   /** Fills `out` with up to `count` facts: eager ones first, then random ones. */
   void Pick(size_t count, TimePoint now, std::mt19937_64& random, std::vector<GossipMessage::Rumor>& out);
-  /** Fills `out` with up to `count` of the newest facts, without counting them as sent. */
-  void Peek(size_t count, TimePoint now, std::vector<GossipMessage::Rumor>& out) const;
+  /** Fills `out` with up to `count` facts from position `first` on, newest first, without counting them as sent. */
+  void Peek(size_t first, size_t count, TimePoint now, std::vector<GossipMessage::Rumor>& out) const;
+  /** Hash over the facts on leaving and returning endpoints, whatever order they arrived in. */
+  uint64_t LeavingDigest() const;
   void Expire(TimePoint now);
   size_t Size() const { return m_rumors.size(); }
 
--- a/libs/core/tests/promises_test.cc
+++ b/libs/core/tests/promises_test.cc
@@ -130,6 +130,39 @@
   CheckHeld(world);
 }
 
+bool KnowsLeaving(const State& state, const std::string& name) {
+  for (uint32_t i = 0; i < state.EndpointCount(); ++i) {
+    if (state.EndpointRow(EndpointHandle(i)).name == name)
+      return state.IsLeaving(EndpointHandle(i));
+  }
+  return false;
+}
+
+/** One endpoint leaves, then another one comes and goes many times, so that there is much to tell. */
+void LeaveAmongMuchNews(World& world) {
+  world.Drain(0);
+  for (int i = 0; i < 20; ++i)
+    world.Call(0, true);
+  world.Advance(Millis(500));
+  for (int round = 0; round < 40; ++round) {
+    world.Drain(1);
+    world.Advance(Millis(1'000));
+    world.RestartEndpoint(1);
+    world.Advance(Millis(1'000));
+  }
+}
+
+TEST_CASE("an instance that starts learns at once which endpoints leave, however much else there is to tell") {
+  for (uint64_t seed = 20; seed < 30; ++seed) {
+    World world(seed);
+    LeaveAmongMuchNews(world);
+    world.Restart(3);
+    world.Advance(Millis(700));
+    CHECK(KnowsLeaving(world.StateOf(3), "e0"));
+    CheckHeld(world);
+  }
+}
+
 TEST_CASE("a returning endpoint is used again") {
   World world(10);
   world.Drain(0);
--- a/libs/peers/src/gossip_codec.cc
+++ b/libs/peers/src/gossip_codec.cc
@@ -110,6 +110,7 @@
   message.store_age = milliseconds(std::min<uint64_t>(in.getStoreAgeMillis(), kMaxAge));
   message.endpoints_digest = in.getEndpointsDigest();
   message.endpoints_as_of = in.getEndpointsAsOf();
+  message.leaving_digest = in.getLeavingDigest();
   message.endpoints_age = milliseconds(std::min<uint64_t>(in.getEndpointsAgeMillis(), kMaxAge));
   const size_t items = in.getEndpointChanges().size() + in.getRumors().size() + in.getLoads().size() +
                        in.getMembers().size() + in.getHeartbeats().size();
@@ -139,6 +140,7 @@
   gossip.setStoreAgeMillis(static_cast<uint64_t>(std::max<int64_t>(0, message.store_age.count())));
   gossip.setEndpointsDigest(message.endpoints_digest);
   gossip.setEndpointsAsOf(message.endpoints_as_of);
+  gossip.setLeavingDigest(message.leaving_digest);
   gossip.setEndpointsAgeMillis(static_cast<uint64_t>(std::max<int64_t>(0, message.endpoints_age.count())));
   auto changes = gossip.initEndpointChanges(static_cast<uint32_t>(message.endpoint_changes.size()));
   for (uint32_t i = 0; i < changes.size(); ++i)
--- a/libs/peers/src/peer.capnp
+++ b/libs/peers/src/peer.capnp
@@ -73,6 +73,7 @@
   endpointsAsOf @10 :UInt64;
   endpointsAgeMillis @11 :UInt64;
   endpointChanges @12 :List(EndpointChange);
+  leavingDigest @13 :UInt64;
 }
 
 struct TextDelta {
