--- a/libs/core/include/core/effect.h
+++ b/libs/core/include/core/effect.h
@@ -11,6 +11,7 @@
 #include "base/handle.h"
 #include "core/call_handle.h"
 #include "core/dispatch_basis.h"
+#include "core/member.h"
 #include "core/outcome.h"
 
 namespace sassafras {
@@ -71,8 +72,21 @@
     bool whole = false;
     /** How long to wait for a change. */
     std::chrono::milliseconds wait{};
-    /** Peer to ask if the store does not answer; empty for none. */
+    /** Revision after which changes are wanted. */
+    uint64_t after = 0;
+    /** Peer to ask; empty for none. */
     std::string peer_address;
+    /** Whether the peer is asked before the store, and for how long; otherwise only if the store does not answer. */
+    bool peer_first = false;
+    std::chrono::milliseconds peer_limit{500};
+    /** Whether a reading that lags a little is good enough. */
+    bool may_lag = false;
+  };
+  /** Read the entry instances that one of them has written down. */
+  struct ReadRoster {};
+  /** Write the entry instances down for those that start later. */
+  struct WriteRoster {
+    std::vector<Member> members;
   };
   struct SendGossip {
     std::string peer_address;
@@ -85,7 +99,10 @@
     uint64_t generation = 0;
   };
   /** Read the lists and the list of instances from the platform once. */
-  struct PollStore {};
+  struct PollStore {
+    /** Whether a reading that lags a little is good enough: it proves nothing, but is much cheaper. */
+    bool may_lag = false;
+  };
   /** Keep or drop a watch on the store. */
   struct WatchStore {
     bool on = false;
@@ -112,6 +129,8 @@
                            SendProbe,
                            ArmAsk,
                            ReadEndpoints,
+                           ReadRoster,
+                           WriteRoster,
                            SendGossip,
                            FetchLists,
                            PollStore,
--- a/libs/core/include/core/event.h
+++ b/libs/core/include/core/event.h
@@ -80,6 +80,13 @@
     /** Whether a peer passed this on, and how old its knowledge was. */
     bool from_peer = false;
     std::chrono::milliseconds age{};
+    /** Whether the store may have answered with what it knew some time ago. */
+    bool may_lag = false;
+  };
+  /** Entry instances as one of them has written them down. */
+  struct RosterReceived {
+    TimePoint now;
+    std::vector<Member> members;
   };
   /** A read of the store ended; `ok` tells whether it answered. */
   struct StoreRead {
@@ -170,6 +177,7 @@
                            StoreConfirmed,
                            DirectoryReceived,
                            EndpointsReceived,
+                           RosterReceived,
                            StoreRead,
                            GossipReceived,
                            CallArrived,
--- a/libs/core/include/core/gossip_message.h
+++ b/libs/core/include/core/gossip_message.h
@@ -44,6 +44,8 @@
   /** Not 0: the receiver shall answer at once with all it knows, repeating the number in `reply_to`. */
   uint64_t ask = 0;
   uint64_t reply_to = 0;
+  /** Whether a receiver to whom the changes of endpoints are new passes them on in its failure domain. */
+  bool relay = false;
   /** Hash over the endpoints that the sender knows of, and the store's revision it knows them up to. */
   uint64_t endpoints_digest = 0;
   uint64_t endpoints_as_of = 0;
--- a/libs/core/src/control.cc
+++ b/libs/core/src/control.cc
@@ -12,6 +12,7 @@
 #include "lists/lists.h"
 #include "lists_apply.h"
 #include "parts.h"
+#include "roster.h"
 
 namespace sassafras {
 namespace {
@@ -48,16 +49,17 @@
 void RefreshWatch(Parts& parts, TimePoint now, Effects& effects) {
   const bool serving = parts.phase != Phase::kClosing;
   const size_t watchers = parts.options.discovery ? kDiscoveryWatchers : kWatchers;
-  const bool watch = serving && parts.members.RankForReaching(kWatchPurpose, parts.self_hash, now) < watchers;
+  const bool knows = !parts.options.discovery || KnowsFleet(parts, now);
+  const bool watch = serving && knows && parts.members.RankForReaching(kWatchPurpose, parts.self_hash, now) < watchers;
   if (watch == parts.lists.watching)
     return;
   parts.lists.watching = watch;
   effects.push_back(Effect::WatchStore{watch});
 }
 
-void Poll(Parts& parts, TimePoint now, Effects& effects) {
+void Poll(Parts& parts, bool may_lag, TimePoint now, Effects& effects) {
   parts.lists.last_poll = now;
-  effects.push_back(Effect::PollStore{});
+  effects.push_back(Effect::PollStore{may_lag});
 }
 
 /** Reads the store if it is this instance's turn. */
@@ -67,7 +69,8 @@
   // With discovery the watch itself proves from time to time that nothing has changed.
   const bool polls = lists.watching && !parts.options.discovery && now - lists.last_poll >= kWatcherPollPeriod;
   if (starting || polls) {
-    Poll(parts, now, effects);
+    // With discovery those that watch the store tell a starting instance of what its reading lacks.
+    Poll(parts, starting && parts.options.discovery, now, effects);
     return;
   }
   if (now - lists.store_confirmed_at < kStoreStale)
@@ -75,7 +78,7 @@
   const auto fleet = static_cast<double>(std::max<size_t>(1, parts.members.CountServing(now)));
   const double chance = kFleetPollRate * std::chrono::duration<double>(kRolePeriod).count() / fleet;
   if (std::uniform_real_distribution<double>(0.0, 1.0)(parts.random) < chance)
-    Poll(parts, now, effects);
+    Poll(parts, false, now, effects);
 }
 
 /** Renews the seats held, and tries for those for which this instance comes first. */
@@ -122,10 +125,10 @@
   if (parts.phase == Phase::kStarting)
     return;
   parts.lists.revalidate_until = now + kRevalidateLimit;
-  Poll(parts, now, effects);
+  Poll(parts, false, now, effects);
   AskPeers(parts, now, effects);
   if (parts.options.discovery)
-    effects.push_back(Effect::ReadEndpoints{});
+    effects.push_back(Effect::ReadEndpoints{.after = parts.feed.as_of});
 }
 
 void RefreshRoles(Parts& parts, TimePoint now, Effects& effects) {
@@ -143,6 +146,7 @@
   RefreshWatch(parts, now, effects);
   RefreshPoll(parts, now, effects);
   RefreshSeats(parts, now, effects);
+  RefreshRoster(parts, now, effects);
   if (parts.phase == Phase::kStarting)
     AskPeersForLists(parts, 1, effects);
 }
@@ -173,8 +177,8 @@
   for (ServiceState& service : parts.services)
     PumpQueues(parts, service, event.now, effects);
   parts.gossip_now = true;
-  if (parts.options.discovery && parts.lists.watching)
-    SendToAllPeers(parts, {}, event.now, effects);
+  if (parts.options.discovery)
+    TellOfLists(parts, event.now, effects);
 }
 
 void BecomeReady(Parts& parts) {
--- a/libs/core/src/discovery.cc
+++ b/libs/core/src/discovery.cc
@@ -11,6 +11,7 @@
 #include "gossip.h"
 #include "lists_apply.h"
 #include "parts.h"
+#include "roster.h"
 
 namespace sassafras {
 namespace {
@@ -32,6 +33,8 @@
 constexpr milliseconds kDiffersLimit{1'000};
 /** Pause between reads of a starting instance. */
 constexpr milliseconds kFirstPause{200};
+/** How long a starting instance waits for a peer before it reads the store. */
+constexpr milliseconds kStartPeerLimit{60};
 /** Changes in one datagram. */
 constexpr size_t kChangesPerMessage = 6;
 
@@ -47,12 +50,12 @@
   for (size_t start = 0; start < news.size(); start += kChangesPerMessage) {
     const auto first = news.begin() + static_cast<std::ptrdiff_t>(start);
     const auto last = news.begin() + static_cast<std::ptrdiff_t>(std::min(news.size(), start + kChangesPerMessage));
-    SendToAllPeers(parts, std::vector<EndpointChange>(first, last), now, effects);
+    TellOfEndpoints(parts, std::vector<EndpointChange>(first, last), now, effects);
   }
 }
 
 bool IsReader(Parts& parts, TimePoint now) {
-  return parts.members.RankForReaching(kReaderPurpose, parts.self_hash, now) < kReaders;
+  return KnowsFleet(parts, now) && parts.members.RankForReaching(kReaderPurpose, parts.self_hash, now) < kReaders;
 }
 
 /** Whether this instance should read the store now; `read` tells how. */
@@ -63,11 +66,19 @@
   const Duration since = now - feed.last_read;
   if (feed.failures > 0 && since < StorePauseAfter(feed.failures))
     return false;
-  if (whole)
+  if (whole) {
+    // Word of peers mends a reading that lags, long before anything depends on it.
+    read.may_lag = true;
+    read.peer_address = NearPeerAddress(parts, now);
+    read.peer_first = parts.members.CountServing(now) > 1;
+    read.peer_limit = kStartPeerLimit;
     return since >= kFirstPause;
+  }
   if (feed.differs_since != TimePoint() && now - feed.differs_since >= kDiffersLimit) {
     feed.differs_since = now;
     whole = true;
+    read.peer_address = feed.differs_from;
+    read.peer_first = true;
     return true;
   }
   if (since < kReadPeriod)
@@ -97,7 +108,8 @@
     feed.RemoveOthers(event.changes, event.as_of, gone_delay, event.now, news);
   const bool first = feed.as_of == 0;
   feed.as_of = std::max(feed.as_of, event.as_of);
-  feed.confirmed_at = std::max(feed.confirmed_at, event.now - event.age);
+  if (!event.may_lag)
+    feed.confirmed_at = std::max(feed.confirmed_at, event.now - event.age);
   // The next change may come at any time.
   feed.last_read = event.now - kReadPeriod + kPauseAfterChange;
   if (event.whole)
@@ -114,12 +126,15 @@
 void OnStoreRead(Parts& parts, const Event::StoreRead& event, Effects& effects) {
   EndpointFeed& feed = parts.feed;
   const bool changed = parts.self.store_reachable != event.ok;
+  const bool has_role = parts.lists.watching || IsReader(parts, event.now);
   parts.self.store_reachable = event.ok;
   if (changed) {
     parts.members.NoteReaching(parts.self.name, event.ok, parts.self.heartbeat);
     parts.next_role_check = event.now;
-    SendToAllPeers(parts, {}, event.now, effects);
   }
+  // Only of those that read for all does anybody have to know at once.
+  if (changed && has_role)
+    TellOfSelf(parts, event.now, effects);
   if (!event.ok) {
     ++feed.failures;
     feed.store_failing = true;
@@ -131,25 +146,34 @@
   feed.failures = 0;
 }
 
-void LearnEndpointsFromPeer(Parts& parts, const GossipMessage& message, TimePoint now) {
+void LearnEndpointsFromPeer(Parts& parts, const GossipMessage& message, TimePoint now, Effects& effects) {
   if (!parts.options.discovery)
     return;
   EndpointFeed& feed = parts.feed;
-  bool changed = false;
-  for (const EndpointChange& change : message.endpoint_changes)
-    changed = feed.Apply(change, GoneDelay(parts, now), now) || changed;
-  if (changed)
+  std::vector<EndpointChange> news;
+  for (const EndpointChange& change : message.endpoint_changes) {
+    if (feed.Apply(change, GoneDelay(parts, now), now))
+      news.push_back(change);
+  }
+  if (!news.empty())
     ApplyDiscovered(parts, now);
+  if (!news.empty() && message.relay)
+    RelayEndpoints(parts, std::move(news), now, effects);
   if (message.endpoints_as_of == 0)
     return;
   if (message.endpoints_digest == feed.Digest()) {
     feed.differs_since = {};
     feed.confirmed_at = std::max(feed.confirmed_at, now - message.endpoints_age);
+    // Who lists the same knows all that the other knows.
+    feed.as_of = std::max(feed.as_of, message.endpoints_as_of);
     return;
   }
   const bool peer_is_newer = now - message.endpoints_age > feed.confirmed_at;
-  if (peer_is_newer && feed.differs_since == TimePoint())
+  if (!peer_is_newer)
+    return;
+  if (feed.differs_since == TimePoint())
     feed.differs_since = now;
+  feed.differs_from = message.sender.peer_address;
 }
 
 void RefreshDiscovery(Parts& parts, TimePoint now, Effects& effects) {
@@ -161,8 +185,7 @@
   if (parts.phase == Phase::kClosing || !IsReadDue(parts, now, read))
     return;
   parts.feed.last_read = now;
-  if (read.whole)
-    read.peer_address = RandomPeerAddress(parts, now);
+  read.after = parts.feed.as_of;
   effects.push_back(std::move(read));
 }
 
--- a/libs/core/src/discovery.h
+++ b/libs/core/src/discovery.h
@@ -14,7 +14,7 @@
 void OnStoreRead(Parts& parts, const Event::StoreRead& event, Effects& effects);
 
 /** Takes in what a peer knows of the endpoints. */
-void LearnEndpointsFromPeer(Parts& parts, const GossipMessage& message, TimePoint now);
+void LearnEndpointsFromPeer(Parts& parts, const GossipMessage& message, TimePoint now, Effects& effects);
 
 /** Reads the store if it is this instance's turn, and ends the use of endpoints that are gone. */
 void RefreshDiscovery(Parts& parts, TimePoint now, Effects& effects);
--- a/libs/core/src/endpoint_feed.h
+++ b/libs/core/src/endpoint_feed.h
@@ -48,6 +48,8 @@
   TimePoint confirmed_at{};
   /** Since when a peer is known to hold other endpoints; TimePoint() if none does. */
   TimePoint differs_since{};
+  /** Where that peer is asked. */
+  std::string differs_from;
   TimePoint last_read{};
   /** When the store answered again after it had not. */
   TimePoint store_back_at{};
--- a/libs/core/src/gossip.cc
+++ b/libs/core/src/gossip.cc
@@ -4,8 +4,11 @@
 #include <chrono>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <utility>
 
+#include <absl/container/flat_hash_map.h>
+
 #include "core/gossip_message.h"
 #include "discovery.h"
 #include "endpoint_news.h"
@@ -28,6 +31,12 @@
 constexpr size_t kLoadsPerMessage = 8;
 /** One round in this many goes to a peer that has been silent, so that parted regions find each other. */
 constexpr uint64_t kSilentPeerRounds = 8;
+/** One round in this many of the others goes to a peer of any failure domain, not to one of this instance's. */
+constexpr uint64_t kFarPeerRounds = 4;
+/** Peers that each instance tells of lists that it has just put in force. */
+constexpr size_t kPeersToldOfLists = 3;
+/** Peers in each other failure domain that pass news on there. */
+constexpr size_t kRelays = 2;
 /** Lists are asked for at most this often. */
 constexpr milliseconds kFetchPeriod{200};
 /** News of leaving endpoints is compared with that of a peer at most this often. */
@@ -37,7 +46,17 @@
 /** Own reports younger than this are not replaced by a peer's. */
 constexpr milliseconds kOwnReportFresh{100};
 
-const Membership::Entry* RandomPeer(Parts& parts, bool alive, TimePoint now) {
+/** Which peers a message may go to. */
+enum class Reach { kAlive, kAliveNear, kSilent };
+
+bool IsWithin(const Parts& parts, const Membership::Entry& entry, Reach reach, TimePoint now) {
+  const bool alive = parts.members.IsAlive(entry, now);
+  if (reach == Reach::kSilent)
+    return !alive;
+  return alive && (reach == Reach::kAlive || entry.member.failure_domain == parts.self.failure_domain);
+}
+
+const Membership::Entry* RandomPeer(Parts& parts, Reach reach, TimePoint now) {
   const auto& entries = parts.members.All();
   if (entries.empty())
     return nullptr;
@@ -45,19 +64,27 @@
   for (size_t step = 0; step < entries.size(); ++step) {
     const Membership::Entry& entry = entries[(start + step) % entries.size()];
     const bool self = entry.member.name == parts.self.name;
-    if (!self && parts.members.IsAlive(entry, now) == alive)
+    if (!self && IsWithin(parts, entry, reach, now))
       return &entry;
   }
   return nullptr;
 }
 
+/** Most messages stay in the failure domain, where they are cheap; a few find silent peers. */
+Reach DrawReach(Parts& parts) {
+  if (parts.random() % kSilentPeerRounds == 0)
+    return Reach::kSilent;
+  return parts.random() % kFarPeerRounds == 0 ? Reach::kAlive : Reach::kAliveNear;
+}
+
 }  // namespace
 
 std::string RandomPeerAddress(Parts& parts, TimePoint now) {
-  const bool ask_silent = parts.random() % kSilentPeerRounds == 0;
-  const Membership::Entry* peer = RandomPeer(parts, !ask_silent, now);
-  if (peer == nullptr)
-    peer = RandomPeer(parts, ask_silent, now);
+  const Membership::Entry* peer = RandomPeer(parts, DrawReach(parts), now);
+  for (const Reach reach : {Reach::kAliveNear, Reach::kAlive, Reach::kSilent}) {
+    if (peer == nullptr)
+      peer = RandomPeer(parts, reach, now);
+  }
   if (peer != nullptr)
     return peer->member.peer_address;
   std::vector<std::string> seeds = parts.options.seed_peers;
@@ -65,6 +92,11 @@
   return seeds.empty() ? std::string() : seeds[parts.random() % seeds.size()];
 }
 
+std::string NearPeerAddress(Parts& parts, TimePoint now) {
+  const Membership::Entry* peer = RandomPeer(parts, Reach::kAliveNear, now);
+  return peer == nullptr ? RandomPeerAddress(parts, now) : peer->member.peer_address;
+}
+
 namespace {
 
 bool IsWorthTelling(const Parts& parts, const Membership::Entry& entry, TimePoint now) {
@@ -227,7 +259,7 @@
     ApplyRumor(parts, rumor, event.now);
   for (const GossipMessage::EndpointLoad& load : message.loads)
     ApplyLoad(parts, load, event.now);
-  LearnEndpointsFromPeer(parts, message, event.now);
+  LearnEndpointsFromPeer(parts, message, event.now, effects);
   if (message.ask != 0)
     Reply(parts, message, event.now, effects);
   AskIfDifferent(parts, message, event.now, effects);
@@ -257,9 +289,63 @@
   }
 }
 
-void SendToAllPeers(Parts& parts, std::vector<EndpointChange> changes, TimePoint now, Effects& effects) {
+namespace {
+
+void SendToNearPeers(Parts& parts,
+                     const std::shared_ptr<const GossipMessage>& message,
+                     TimePoint now,
+                     Effects& effects) {
+  for (const Membership::Entry& entry : parts.members.All()) {
+    const bool self = entry.member.name == parts.self.name;
+    if (!self && IsWithin(parts, entry, Reach::kAliveNear, now))
+      effects.push_back(Effect::SendGossip{entry.member.peer_address, message});
+  }
+}
+
+/** Sends to a few peers in each other failure domain, drawn at random. */
+void SendToRelays(Parts& parts, const std::shared_ptr<const GossipMessage>& message, TimePoint now, Effects& effects) {
+  const auto& entries = parts.members.All();
+  absl::flat_hash_map<std::string_view, size_t> chosen;
+  const size_t start = entries.empty() ? 0 : parts.random() % entries.size();
+  for (size_t step = 0; step < entries.size(); ++step) {
+    const Membership::Entry& entry = entries[(start + step) % entries.size()];
+    const bool far = entry.member.failure_domain != parts.self.failure_domain;
+    if (!far || !parts.members.IsAlive(entry, now) || chosen[entry.member.failure_domain]++ >= kRelays)
+      continue;
+    effects.push_back(Effect::SendGossip{entry.member.peer_address, message});
+  }
+}
+
+}  // namespace
+
+void TellOfEndpoints(Parts& parts, std::vector<EndpointChange> changes, TimePoint now, Effects& effects) {
   std::shared_ptr<GossipMessage> message = StartMessage(parts, now);
   message->endpoint_changes = std::move(changes);
+  SendToNearPeers(parts, message, now, effects);
+  auto relayed = std::make_shared<GossipMessage>(*message);
+  relayed->relay = true;
+  SendToRelays(parts, relayed, now, effects);
+}
+
+void RelayEndpoints(Parts& parts, std::vector<EndpointChange> changes, TimePoint now, Effects& effects) {
+  std::shared_ptr<GossipMessage> message = StartMessage(parts, now);
+  message->endpoint_changes = std::move(changes);
+  SendToNearPeers(parts, message, now, effects);
+}
+
+void TellOfLists(Parts& parts, TimePoint now, Effects& effects) {
+  const std::shared_ptr<const GossipMessage> message = StartMessage(parts, now);
+  for (size_t i = 0; i < kPeersToldOfLists; ++i) {
+    std::string address = NearPeerAddress(parts, now);
+    if (!address.empty())
+      effects.push_back(Effect::SendGossip{std::move(address), message});
+  }
+  if (parts.lists.watching)
+    SendToRelays(parts, message, now, effects);
+}
+
+void TellOfSelf(Parts& parts, TimePoint now, Effects& effects) {
+  const std::shared_ptr<const GossipMessage> message = StartMessage(parts, now);
   for (const Membership::Entry& entry : parts.members.All()) {
     if (entry.member.name != parts.self.name && parts.members.IsAlive(entry, now))
       effects.push_back(Effect::SendGossip{entry.member.peer_address, message});
--- a/libs/core/src/lists_apply.cc
+++ b/libs/core/src/lists_apply.cc
@@ -14,6 +14,8 @@
 
 /** Endpoints of one service that an instance uses at most. */
 constexpr size_t kSubsetSize = 24;
+/** How many of them are in other failure domains, where there are enough in this instance's own. */
+constexpr size_t kFarSubset = 8;
 constexpr uint64_t kLaneSeed = 0x6c616e65;
 constexpr uint64_t kSubsetSeed = 0x737562;
 
@@ -112,7 +114,10 @@
     parts.At(order[i]).long_lane = i < count;
 }
 
-/** Keeps the kSubsetSize endpoints that come first for this instance in rendezvous order. */
+/**
+ * Keeps the endpoints that come first for this instance in rendezvous order: most of them near, the others for when
+ * those are full.
+ */
 void KeepSubset(Parts& parts, std::vector<EndpointHandle>& candidates) {
   if (candidates.size() <= kSubsetSize)
     return;
@@ -120,6 +125,13 @@
   std::sort(candidates.begin(), candidates.end(), [&](EndpointHandle a, EndpointHandle b) {
     return HashCombine(seed, parts.At(a).name_hash) < HashCombine(seed, parts.At(b).name_hash);
   });
+  const auto is_near = [&](EndpointHandle endpoint) { return parts.At(endpoint).same_domain; };
+  const auto far = std::stable_partition(candidates.begin(), candidates.end(), is_near);
+  const auto near_count = static_cast<size_t>(far - candidates.begin());
+  const size_t far_count = candidates.size() - near_count;
+  const size_t kept_far = std::max(std::min(far_count, kFarSubset), kSubsetSize - std::min(near_count, kSubsetSize));
+  const size_t kept_near = kSubsetSize - kept_far;
+  candidates.erase(candidates.begin() + static_cast<std::ptrdiff_t>(kept_near), far);
   candidates.resize(kSubsetSize);
 }
 
--- a/libs/core/src/membership.cc
+++ b/libs/core/src/membership.cc
@@ -41,9 +41,11 @@
 void Membership::Heard(const Member& member, TimePoint now) {
   Entry& entry = FindOrAdd(member, now);
   Member& known = entry.member;
-  if (member.incarnation < known.incarnation)
+  // The wall clock that numbers incarnations may have been set back: one that is heard while the other is silent
+  // counts.
+  if (member.incarnation < known.incarnation && IsAlive(entry, now))
     return;
-  if (member.incarnation > known.incarnation) {
+  if (member.incarnation != known.incarnation) {
     SetIdentity(entry, member, now);
     return;
   }
--- a/libs/core/src/parts.h
+++ b/libs/core/src/parts.h
@@ -18,6 +18,7 @@
 #include "plan_state.h"
 #include "probe_schedule.h"
 #include "quarantine.h"
+#include "roster_state.h"
 #include "rumor_board.h"
 #include "service_state.h"
 #include "timed_bucket.h"
@@ -57,6 +58,7 @@
   ListsTracker lists;
   Membership members;
   RumorBoard rumors;
+  RosterState roster;
   ProbeSchedule probes;
   /** Questions to endpoints that this instance may still ask. */
   TimedBucket ask_budget;
--- a/libs/core/src/reducer.cc
+++ b/libs/core/src/reducer.cc
@@ -9,6 +9,7 @@
 #include "discovery.h"
 #include "gossip.h"
 #include "parts.h"
+#include "roster.h"
 
 namespace sassafras {
 namespace {
@@ -25,6 +26,7 @@
   void operator()(const Event::CallArrived& event) { OnCallArrived(parts, event, effects); }
   void operator()(const Event::CallerGone& event) { OnCallerGone(parts, event, effects); }
   void operator()(const Event::EndpointsReceived& event) { OnEndpointsReceived(parts, event, effects); }
+  void operator()(const Event::RosterReceived& event) { OnRosterReceived(parts, event); }
   void operator()(const Event::StoreRead& event) { OnStoreRead(parts, event, effects); }
   void operator()(const Event::AskDue& event) { OnAskDue(parts, event, effects); }
   void operator()(const Event::HedgeDue& event) { OnHedgeDue(parts, event, effects); }
--- /dev/null
+++ b/libs/core/src/roster.cc
@@ -0,0 +1,91 @@
+#include "roster.h"
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+#include <vector>
+
+#include "parts.h"
+
+namespace sassafras {
+namespace {
+
+using std::chrono::milliseconds;
+
+/** Time after the start in which gossip finds the others. */
+constexpr milliseconds kGatherTime{2'500};
+/** Shortest time between two writes, and between two reads of an instance that is alone. */
+constexpr milliseconds kWritePeriod{3'000};
+constexpr milliseconds kReadPeriod{900};
+/** Instances on the roster: enough to find all others by gossip, however large the fleet is. */
+constexpr size_t kMostMembers = 256;
+/** The roster is written anew when less than this part of it is alive. */
+constexpr double kLeastAlive = 0.75;
+constexpr uint64_t kWriterPurpose = 0x726f73746572;
+
+/** Members to write down: alive, not leaving, and known to have started. */
+std::vector<Member> MembersToWrite(const Parts& parts, TimePoint now) {
+  std::vector<Member> members;
+  for (const Membership::Entry& entry : parts.members.All()) {
+    if (members.size() == kMostMembers)
+      break;
+    const bool known = entry.member.incarnation != 0 && parts.members.IsAlive(entry, now);
+    if (known && !entry.member.leaving)
+      members.push_back(entry.member);
+  }
+  return members;
+}
+
+bool IsOutdated(const Parts& parts, const std::vector<Member>& alive) {
+  const auto is_written = [&](const Member& member) {
+    const auto found = parts.roster.peers.find(member.name);
+    return found != parts.roster.peers.end() && found->second == member.peer_address;
+  };
+  const auto written = static_cast<size_t>(std::count_if(alive.begin(), alive.end(), is_written));
+  if (written < alive.size())
+    return true;
+  return static_cast<double>(written) < kLeastAlive * static_cast<double>(parts.roster.peers.size());
+}
+
+bool IsWriter(const Parts& parts, TimePoint now) {
+  return parts.self.store_reachable && parts.members.RankForReaching(kWriterPurpose, parts.self_hash, now) == 0;
+}
+
+}  // namespace
+
+void OnRosterReceived(Parts& parts, const Event::RosterReceived& event) {
+  parts.roster.read = true;
+  parts.roster.peers.clear();
+  std::vector<Member> others;
+  for (const Member& member : event.members) {
+    parts.roster.peers.emplace(member.name, member.peer_address);
+    if (member.name != parts.self.name)
+      others.push_back(member);
+  }
+  parts.members.Listed(others, false, event.now);
+}
+
+bool KnowsFleet(const Parts& parts, TimePoint now) {
+  return !parts.roster.peers.empty() || now - parts.options.start >= kGatherTime;
+}
+
+void RefreshRoster(Parts& parts, TimePoint now, Effects& effects) {
+  RosterState& roster = parts.roster;
+  if (!parts.options.discovery || parts.self.leaving)
+    return;
+  const bool alone = parts.members.CountServing(now) <= 1;
+  if ((alone || !roster.read) && now - roster.last_read >= kReadPeriod) {
+    roster.last_read = now;
+    effects.push_back(Effect::ReadRoster{});
+  }
+  const bool may_write = roster.read && now - parts.options.start >= kGatherTime;
+  if (!may_write || now - roster.last_write < kWritePeriod || !IsWriter(parts, now))
+    return;
+  std::vector<Member> members = MembersToWrite(parts, now);
+  if (!IsOutdated(parts, members))
+    return;
+  roster.last_write = now;
+  effects.push_back(Effect::WriteRoster{std::move(members)});
+}
+
+}  // namespace sassafras
--- /dev/null
+++ b/libs/core/tests/roster_test.cc
@@ -0,0 +1,134 @@
+#include <doctest/doctest.h>
+
+#include <chrono>
+#include <string>
+#include <vector>
+
+#include "core/gossip_message.h"
+#include "single_instance.h"
+
+namespace sassafras {
+namespace {
+
+using Millis = SingleInstance::Millis;
+
+Member Peer(int number) {
+  Member member;
+  member.name = "peer" + std::to_string(number);
+  member.failure_domain = "a";
+  member.address = "127.0.0.2:" + std::to_string(number);
+  member.peer_address = "127.0.0.1:" + std::to_string(number);
+  member.incarnation = 1;
+  return member;
+}
+
+std::vector<Member> Peers(int count) {
+  std::vector<Member> members;
+  for (int i = 1; i <= count; ++i)
+    members.push_back(Peer(i));
+  return members;
+}
+
+/** An instance that runs for some time; counts what it asks of the store. */
+struct Fixture {
+  void Run(Millis time) {
+    for (const TimePoint end = instance.Now() + time; instance.Now() < end; instance.Advance(Millis(100)))
+      Tick();
+  }
+  void Tick() {
+    const Effects& effects = instance.Post(Event::Tick{instance.Now()});
+    reads += SingleInstance::Of<Effect::ReadRoster>(effects).size();
+    for (const auto& write : SingleInstance::Of<Effect::WriteRoster>(effects))
+      written.push_back(write.members);
+    for (const auto& watch : SingleInstance::Of<Effect::WatchStore>(effects))
+      watches = watch.on;
+  }
+  void TakeRoster(std::vector<Member> members) {
+    instance.Post(Event::RosterReceived{instance.Now(), std::move(members)});
+  }
+  void Hear(const Member& peer) {
+    GossipMessage message;
+    message.sender = peer;
+    message.sender.heartbeat = ++heartbeat;
+    instance.Post(Event::GossipReceived{instance.Now(), message});
+  }
+
+  SingleInstance instance;
+  uint32_t heartbeat = 0;
+  size_t reads = 0;
+  bool watches = false;
+  std::vector<std::vector<Member>> written;
+};
+
+TEST_CASE("an instance that starts hands out the instances on the roster at once") {
+  Fixture fixture;
+  fixture.Tick();
+  CHECK(fixture.reads == 1);
+  fixture.TakeRoster(Peers(5));
+  CHECK(fixture.instance.GetState().ServingMembers().size() == 6);
+  fixture.Run(Millis(3'000));
+  CHECK(fixture.reads == 1);
+}
+
+TEST_CASE("instances on the roster that are not heard of are no longer handed out") {
+  Fixture fixture;
+  fixture.Tick();
+  fixture.TakeRoster(Peers(5));
+  fixture.Run(Millis(6'000));
+  CHECK(fixture.instance.GetState().ServingMembers().size() == 1);
+}
+
+TEST_CASE("an instance that knows no other keeps reading the roster, and writes itself down") {
+  Fixture fixture;
+  fixture.Tick();
+  fixture.TakeRoster({});
+  fixture.Run(Millis(5'000));
+  CHECK(fixture.reads >= 4);
+  REQUIRE_FALSE(fixture.written.empty());
+  CHECK(fixture.written[0].size() == 1);
+}
+
+TEST_CASE("a roster that is up to date is not written again") {
+  Fixture fixture;
+  fixture.Tick();
+  fixture.TakeRoster({fixture.instance.GetState().Self()});
+  fixture.Run(Millis(10'000));
+  CHECK(fixture.written.empty());
+}
+
+TEST_CASE("of a fleet that starts together few watch or write before they have heard of each other") {
+  Fixture fixture;
+  fixture.Tick();
+  fixture.TakeRoster({});
+  fixture.Run(Millis(2'000));
+  CHECK_FALSE(fixture.watches);
+  CHECK(fixture.written.empty());
+}
+
+TEST_CASE("an instance that is not on the roster gets there, by one of all that see it") {
+  // Whatever the names, one of the two instances comes first and writes; here both are asked.
+  size_t writers = 0;
+  for (const char* name : {"i0", "peer1"}) {
+    SingleInstance instance(StateOptions(), name);
+    Member other = Peer(1);
+    if (std::string(name) == "peer1")
+      other.name = "i0";
+    uint32_t heartbeat = 0;
+    bool wrote = false;
+    instance.Post(Event::RosterReceived{instance.Now(), {other}});
+    for (int step = 0; step < 60; ++step) {
+      instance.Advance(Millis(100));
+      GossipMessage message;
+      message.sender = other;
+      message.sender.heartbeat = ++heartbeat;
+      instance.Post(Event::GossipReceived{instance.Now(), message});
+      const Effects& effects = instance.Post(Event::Tick{instance.Now()});
+      wrote = wrote || !SingleInstance::Of<Effect::WriteRoster>(effects).empty();
+    }
+    writers += wrote ? 1 : 0;
+  }
+  CHECK(writers == 1);
+}
+
+}  // namespace
+}  // namespace sassafras
--- a/libs/core/tests/world.h
+++ b/libs/core/tests/world.h
@@ -167,6 +167,8 @@
   void On(size_t instance, const Effect::FetchLists& effect);
   void On(size_t instance, const Effect::PollStore& effect);
   void On(size_t instance, const Effect::WatchStore& effect);
+  void On(size_t instance, const Effect::ReadRoster& effect);
+  void On(size_t instance, const Effect::WriteRoster& effect);
   void On(size_t instance, const Effect::RestoreLists& effect);
   void On(size_t instance, const Effect::ClaimSeat& effect);
   void On(size_t instance, const Effect::ReleaseSeat& effect);
--- a/libs/core/tests/world_effects.cc
+++ b/libs/core/tests/world_effects.cc
@@ -137,6 +137,10 @@
 
 void World::On(size_t /*instance*/, const Effect::ReadEndpoints& /*effect*/) {}
 
+void World::On(size_t /*instance*/, const Effect::ReadRoster& /*effect*/) {}
+
+void World::On(size_t /*instance*/, const Effect::WriteRoster& /*effect*/) {}
+
 void World::On(size_t instance, const Effect::SendProbe& effect) {
   const size_t endpoint = EndpointIndex(instance, effect.endpoint);
   const uint64_t incarnation = m_instances[instance].incarnation;
--- a/libs/entry/src/control_link.h
+++ b/libs/entry/src/control_link.h
@@ -13,6 +13,8 @@
   virtual void OnEffect(const Effect::FetchLists& effect) = 0;
   virtual void OnEffect(const Effect::PollStore& effect) = 0;
   virtual void OnEffect(const Effect::WatchStore& effect) = 0;
+  virtual void OnEffect(const Effect::ReadRoster& effect) = 0;
+  virtual void OnEffect(const Effect::WriteRoster& effect) = 0;
   virtual void OnEffect(const Effect::ReadEndpoints& effect) = 0;
   virtual void OnEffect(const Effect::RestoreLists& effect) = 0;
   virtual void OnEffect(const Effect::ClaimSeat& effect) = 0;
--- a/libs/entry/src/entry_instance.cc
+++ b/libs/entry/src/entry_instance.cc
@@ -31,6 +31,7 @@
 #include "platform_link.h"
 #include "prober.h"
 #include "settings/settings.h"
+#include "stop_limits.h"
 #include "store/etcd_client.h"
 #include "upstream_pool.h"
 
@@ -41,19 +42,6 @@
 using std::chrono::milliseconds;
 
 constexpr std::chrono::seconds kPoolSweep{5};
-/** Part of the time before the platform kills a stopping process in which it still takes calls. */
-constexpr double kLingerPart = 0.6;
-/** Time kept back from it, so that the process ends by itself. */
-constexpr milliseconds kKillMargin{400};
-
-/** How long a planned stop may take. */
-std::chrono::microseconds StopLimit(const Settings& settings) {
-  if (settings.kill_after.count() == 0)
-    return settings.stop_limit;
-  return std::min(settings.stop_limit,
-                  std::max<std::chrono::microseconds>(kKillMargin, settings.kill_after - kKillMargin));
-}
-
 StateOptions MakeOptions(const Settings& settings, const Clock& clock) {
   StateOptions options;
   options.self.name = settings.instance;
@@ -71,7 +59,7 @@
   options.record_limit = settings.record_limit;
   options.address_ttl = duration_cast<milliseconds>(settings.address_ttl);
   if (settings.kill_after.count() > 0)
-    options.linger_limit = duration_cast<milliseconds>(settings.kill_after * kLingerPart);
+    options.linger_limit = LingerLimit(duration_cast<milliseconds>(settings.kill_after));
   options.probing = settings.probing;
   options.hedging = settings.hedging;
   options.late_binding = settings.late_binding;
@@ -124,6 +112,8 @@
   void OnEffect(const Effect::PollStore& effect) override { m_link->OnEffect(effect); }
   void OnEffect(const Effect::WatchStore& effect) override { m_link->OnEffect(effect); }
   void OnEffect(const Effect::ReadEndpoints& effect) override { m_link->OnEffect(effect); }
+  void OnEffect(const Effect::ReadRoster& effect) override { m_link->OnEffect(effect); }
+  void OnEffect(const Effect::WriteRoster& effect) override { m_link->OnEffect(effect); }
   void OnEffect(const Effect::RestoreLists& effect) override { m_link->OnEffect(effect); }
   void OnEffect(const Effect::ClaimSeat& effect) override { m_link->OnEffect(effect); }
   void OnEffect(const Effect::ReleaseSeat& effect) override { m_link->OnEffect(effect); }
@@ -278,7 +268,8 @@
   if (m_engine.GetState().CurrentPhase() == Phase::kLeaving || m_closing)
     return;
   Log(LogLevel::kInfo, "stop_requested", {{"instance", m_settings.instance}});
-  m_stop_limit.expires_after(StopLimit(m_settings));
+  m_stop_limit.expires_after(StopLimit(duration_cast<milliseconds>(m_settings.kill_after),
+                                       duration_cast<milliseconds>(m_settings.stop_limit)));
   m_stop_limit.async_wait([this](error_code error) {
     if (error)
       return;
--- a/libs/entry/src/fleet_link.cc
+++ b/libs/entry/src/fleet_link.cc
@@ -24,12 +24,6 @@
 
 /** How long a watch waits for a change of the plans; its end proves that there was none. */
 constexpr milliseconds kWatchWait{2'500};
-/** How often a registration is renewed, and how soon after a failure it is tried again. */
-constexpr std::chrono::seconds kRenewPeriod{12};
-constexpr std::chrono::seconds kRegisterRetry{2};
-/** Pauses between looks for other instances, for the first ones and later. */
-constexpr milliseconds kFirstMembersPause{500};
-constexpr std::chrono::seconds kMembersPause{3};
 /** Longest time for a question to a peer. */
 constexpr milliseconds kPeerLimit{500};
 constexpr std::string_view kPlansPage = "/sassafras/peer/plans";
@@ -74,43 +68,58 @@
   m_engine.Post(Event::ListsReceived{m_engine.Now(), reading.generation, reading.lists});
 }
 
-void FleetLink::TakePlans(const PlansReading& reading) {
+void FleetLink::TakePlans(const PlansReading& reading, Freshness freshness) {
   m_plans_as_of = std::max(m_plans_as_of, reading.as_of);
   if (reading.generation > m_engine.GetState().Generation())
-    PutInForce(reading, "store");
-  m_engine.Post(Event::StoreConfirmed{m_engine.Now(), m_engine.GetState().Generation()});
+    PutInForce(reading, freshness == Freshness::kLatest ? "store" : "store, may lag");
+  if (freshness == Freshness::kLatest)
+    m_engine.Post(Event::StoreConfirmed{m_engine.Now(), m_engine.GetState().Generation()});
 }
 
-void FleetLink::OnEffect(const Effect::PollStore& /*effect*/) {
+void FleetLink::OnEffect(const Effect::PollStore& effect) {
   if (!std::exchange(m_polling, true))
-    asio::co_spawn(m_context, RunPoll(), asio::detached);
-  if (!std::exchange(m_registering, true))
-    asio::co_spawn(m_context, RunRegistration(), asio::detached);
+    asio::co_spawn(m_context, RunPoll(effect.may_lag ? Freshness::kMayLag : Freshness::kLatest), asio::detached);
 }
 
-asio::awaitable<void> FleetLink::RunPoll() {
-  const auto reading = co_await m_store->ReadPlans(Freshness::kLatest);
+asio::awaitable<void> FleetLink::RunPoll(Freshness freshness) {
+  const auto reading = co_await m_store->ReadPlans(freshness);
   NoteResult(reading.status());
   if (reading.ok())
-    TakePlans(*reading);
+    TakePlans(*reading, freshness);
   else if (m_reachable)
     Log(LogLevel::kError, "plans_unusable", {{"error", MessageOf(reading.status())}});
   m_polling = false;
 }
 
-asio::awaitable<void> FleetLink::ReadMembers() {
-  auto members = co_await m_store->ReadMembers();
-  NoteResult(members.status());
-  if (!members.ok())
-    co_return;
-  m_members_read = true;
-  Event::DirectoryReceived event;
-  event.now = m_engine.Now();
-  event.whole = false;
-  event.members = *std::move(members);
-  std::erase_if(event.members, [this](const Member& member) { return member.name == m_engine.GetState().Self().name; });
-  Log(LogLevel::kInfo, "members_read", {{"count", std::to_string(event.members.size())}});
-  m_engine.Post(std::move(event));
+void FleetLink::OnEffect(const Effect::ReadRoster& /*effect*/) {
+  if (!std::exchange(m_using_roster, true))
+    asio::co_spawn(m_context, RunReadRoster(), asio::detached);
+}
+
+void FleetLink::OnEffect(const Effect::WriteRoster& effect) {
+  if (!std::exchange(m_using_roster, true))
+    asio::co_spawn(m_context, RunWriteRoster(effect.members), asio::detached);
+}
+
+asio::awaitable<void> FleetLink::RunReadRoster() {
+  TakeRoster(co_await m_store->ReadRoster(), "roster_read");
+}
+
+asio::awaitable<void> FleetLink::RunWriteRoster(std::vector<Member> members) {
+  TakeRoster(co_await m_store->WriteRoster(members, m_roster_revision), "roster_written");
+}
+
+void FleetLink::TakeRoster(absl::StatusOr<RosterReading> roster, std::string_view what) {
+  m_using_roster = false;
+  NoteResult(roster.status());
+  if (!roster.ok()) {
+    Log(LogLevel::kWarning, "roster_unusable", {{"error", MessageOf(roster.status())}});
+    return;
+  }
+  m_roster_revision = roster->revision;
+  Log(LogLevel::kInfo, what,
+      {{"members", std::to_string(roster->members.size())}, {"revision", std::to_string(roster->revision)}});
+  m_engine.Post(Event::RosterReceived{m_engine.Now(), std::move(roster->members)});
 }
 
 void FleetLink::OnEffect(const Effect::FetchLists& effect) {
@@ -125,7 +134,7 @@
     const auto reading = co_await m_store->ReadPlans(Freshness::kLatest);
     NoteResult(reading.status());
     if (reading.ok() && reading->generation > 0)
-      TakePlans(*reading);
+      TakePlans(*reading, Freshness::kLatest);
   }
   m_fetching = false;
 }
@@ -147,16 +156,16 @@
   co_return true;
 }
 
-asio::awaitable<void> FleetLink::FetchEndpointsFromPeer(std::string peer_address) {
-  const auto reply = co_await SendHttp(peer_address, "GET", std::string(kEndpointsPage), "", kPeerLimit);
+asio::awaitable<bool> FleetLink::FetchEndpointsFromPeer(std::string peer_address, milliseconds limit) {
+  const auto reply = co_await SendHttp(peer_address, "GET", std::string(kEndpointsPage), "", limit);
   if (!reply.ok() || reply->status != kOk) {
     Log(LogLevel::kInfo, "peer_has_no_endpoints", {{"peer", peer_address}});
-    co_return;
+    co_return false;
   }
   auto event = DecodeEndpoints(reply->body);
   if (!event.ok()) {
     Log(LogLevel::kError, "endpoints_unusable", {{"peer", peer_address}, {"error", MessageOf(event.status())}});
-    co_return;
+    co_return false;
   }
   Log(LogLevel::kInfo, "endpoints_from_peer",
       {{"peer", peer_address},
@@ -165,6 +174,7 @@
        {"age_ms", std::to_string(event->age.count())}});
   event->now = m_engine.Now();
   m_engine.Post(*std::move(event));
+  co_return true;
 }
 
 std::optional<Page> FleetLink::Render(std::string_view target, const State& state) const {
@@ -196,7 +206,7 @@
     NoteResult(reading.status());
     if (reading.ok() && reading->as_of > 0) {
       m_watch_failures = 0;
-      TakePlans(*reading);
+      TakePlans(*reading, Freshness::kLatest);
       continue;
     }
     co_await Pause(StorePauseAfter(m_watch_failures++));
@@ -211,55 +221,34 @@
 }
 
 asio::awaitable<void> FleetLink::RunReadEndpoints(Effect::ReadEndpoints effect) {
+  bool& running = effect.whole ? m_reading_whole : m_reading_endpoints;
+  const bool has_peer = !effect.peer_address.empty();
+  if (has_peer && effect.peer_first && co_await FetchEndpointsFromPeer(effect.peer_address, effect.peer_limit)) {
+    running = false;
+    co_return;
+  }
   absl::StatusOr<EndpointsReading> reading = EndpointsReading();
-  if (effect.whole || m_endpoints_as_of == 0)
-    reading = co_await m_store->ReadEndpoints();
+  if (effect.whole || effect.after == 0)
+    reading = co_await m_store->ReadEndpoints(effect.may_lag ? Freshness::kMayLag : Freshness::kLatest);
   else
-    reading = co_await m_store->ReadEndpointChanges(m_endpoints_as_of, effect.wait);
-  (effect.whole ? m_reading_whole : m_reading_endpoints) = false;
+    reading = co_await m_store->ReadEndpointChanges(effect.after, effect.wait);
+  running = false;
   NoteResult(reading.status());
-  if (!reading.ok() && !effect.peer_address.empty())
-    co_await FetchEndpointsFromPeer(effect.peer_address);
+  if (!reading.ok() && has_peer && !effect.peer_first)
+    co_await FetchEndpointsFromPeer(effect.peer_address, effect.peer_limit);
   if (!reading.ok())
     co_return;
-  m_endpoints_as_of = std::max(m_endpoints_as_of, reading->as_of);
   Event::EndpointsReceived event;
   event.now = m_engine.Now();
   event.as_of = reading->as_of;
   event.whole = reading->whole;
+  event.may_lag = effect.may_lag;
   event.changes = std::move(reading->changes);
   m_engine.Post(std::move(event));
 }
 
-asio::awaitable<void> FleetLink::RunRegistration() {
-  while (!m_leaving) {
-    const absl::Status status = co_await m_store->Register(m_engine.GetState().Self());
-    NoteResult(status);
-    if (!status.ok()) {
-      co_await Pause(kRegisterRetry);
-      continue;
-    }
-    // Others may register only after this instance has read: it asks again until it knows of one.
-    Duration waited{};
-    while (!m_leaving && waited < kRenewPeriod) {
-      const bool alone = m_engine.GetState().ServingMembers().size() <= 1;
-      if (alone || !m_members_read)
-        co_await ReadMembers();
-      const Duration pause = alone && waited < kRegisterRetry ? Duration(kFirstMembersPause) : Duration(kMembersPause);
-      co_await Pause(pause);
-      waited += pause;
-    }
-  }
-}
-
 void FleetLink::Leave() {
   m_watch_on = false;
-  if (!std::exchange(m_leaving, true))
-    asio::co_spawn(m_context, RunLeave(), asio::detached);
-}
-
-asio::awaitable<void> FleetLink::RunLeave() {
-  NoteResult(co_await m_store->Unregister());
 }
 
 }  // namespace sassafras
--- a/libs/entry/src/platform_link.h
+++ b/libs/entry/src/platform_link.h
@@ -44,6 +44,8 @@
   void OnEffect(const Effect::PollStore& /*effect*/) override { Poll(); }
   void OnEffect(const Effect::WatchStore& effect) override { Watch(effect.on); }
   void OnEffect(const Effect::ReadEndpoints& /*effect*/) override {}
+  void OnEffect(const Effect::ReadRoster& /*effect*/) override {}
+  void OnEffect(const Effect::WriteRoster& /*effect*/) override {}
   void OnEffect(const Effect::RestoreLists& effect) override { Restore(effect.generation); }
   void OnEffect(const Effect::ClaimSeat& effect) override { ClaimSeat(effect.seat); }
   void OnEffect(const Effect::ReleaseSeat& effect) override { ReleaseSeat(effect.seat); }
--- a/libs/entry/tests/no_control.h
+++ b/libs/entry/tests/no_control.h
@@ -13,6 +13,8 @@
   void OnEffect(const Effect::FetchLists&) override {}
   void OnEffect(const Effect::PollStore&) override {}
   void OnEffect(const Effect::WatchStore&) override {}
+  void OnEffect(const Effect::ReadRoster&) override {}
+  void OnEffect(const Effect::WriteRoster&) override {}
   void OnEffect(const Effect::RestoreLists&) override {}
   void OnEffect(const Effect::ClaimSeat&) override {}
   void OnEffect(const Effect::ReleaseSeat&) override {}
--- /dev/null
+++ b/libs/entry/tests/stop_limits_test.cc
@@ -0,0 +1,26 @@
+#include "stop_limits.h"
+
+#include <doctest/doctest.h>
+
+namespace sassafras {
+namespace {
+
+using std::chrono::milliseconds;
+
+TEST_CASE("a stopping process takes calls for less than half of the time that it has, so that long ones still end") {
+  const milliseconds kill_after(6'000);
+  CHECK(LingerLimit(kill_after) < kill_after / 2);
+  CHECK(LingerLimit(kill_after) > kill_after / 3);
+}
+
+TEST_CASE("a process ends before it is killed, and calls in progress have almost all of the time") {
+  const milliseconds long_limit(60'000);
+  CHECK(StopLimit(milliseconds(6'000), long_limit) < milliseconds(6'000));
+  CHECK(StopLimit(milliseconds(6'000), long_limit) > milliseconds(5'700));
+  CHECK(StopLimit(milliseconds(100), long_limit) > milliseconds(0));
+  CHECK(StopLimit(milliseconds(6'000), milliseconds(2'000)) == milliseconds(2'000));
+  CHECK(StopLimit(milliseconds(0), long_limit) == long_limit);
+}
+
+}  // namespace
+}  // namespace sassafras
--- a/libs/peers/src/gossip_codec.cc
+++ b/libs/peers/src/gossip_codec.cc
@@ -106,6 +106,7 @@
   message.generation = in.getGeneration();
   message.ask = in.getAsk();
   message.reply_to = in.getReplyTo();
+  message.relay = in.getRelay();
   constexpr uint64_t kMaxAge = 1'000'000'000;
   message.store_age = milliseconds(std::min<uint64_t>(in.getStoreAgeMillis(), kMaxAge));
   message.endpoints_digest = in.getEndpointsDigest();
@@ -137,6 +138,7 @@
   gossip.setGeneration(message.generation);
   gossip.setAsk(message.ask);
   gossip.setReplyTo(message.reply_to);
+  gossip.setRelay(message.relay);
   gossip.setStoreAgeMillis(static_cast<uint64_t>(std::max<int64_t>(0, message.store_age.count())));
   gossip.setEndpointsDigest(message.endpoints_digest);
   gossip.setEndpointsAsOf(message.endpoints_as_of);
--- a/libs/peers/src/peer.capnp
+++ b/libs/peers/src/peer.capnp
@@ -74,6 +74,7 @@
   endpointsAgeMillis @11 :UInt64;
   endpointChanges @12 :List(EndpointChange);
   leavingDigest @13 :UInt64;
+  relay @14 :Bool;
 }
 
 struct TextDelta {
--- a/libs/peers/tests/gossip_codec_test.cc
+++ b/libs/peers/tests/gossip_codec_test.cc
@@ -60,6 +60,7 @@
   message.endpoints_digest = ~0ULL;
   message.endpoints_as_of = 77;
   message.leaving_digest = ~0ULL - 1;
+  message.relay = true;
   message.endpoints_age = std::chrono::milliseconds(250);
   for (uint64_t i = 0; i < 6; ++i) {
     EndpointChange& change = message.endpoint_changes.emplace_back();
@@ -77,6 +78,7 @@
   CHECK(again->endpoints_digest == message.endpoints_digest);
   CHECK(again->endpoints_as_of == 77);
   CHECK(again->leaving_digest == message.leaving_digest);
+  CHECK(again->relay);
   CHECK(again->endpoints_age == message.endpoints_age);
   REQUIRE(again->endpoint_changes.size() == 6);
   CHECK(again->endpoint_changes[5].row.address == message.endpoint_changes[5].row.address);
--- a/libs/store/include/store/fleet_store.h
+++ b/libs/store/include/store/fleet_store.h
@@ -9,12 +9,14 @@
 #include <absl/status/statusor.h>
 #include <boost/asio/awaitable.hpp>
 
-#include "core/member.h"
 #include "store/endpoints_reading.h"
 #include "store/plans_reading.h"
+#include "store/roster_reading.h"
 
 namespace sassafras {
 
+struct Member;
+
 /** How fresh a reading has to be. */
 enum class Freshness : uint8_t {
   /** Nothing that was acknowledged before the read is missing. */
@@ -39,17 +41,19 @@
   /** Waits until the plans change after revision `after`, or `wait` has passed; generation 0 if they did not. */
   virtual boost::asio::awaitable<absl::StatusOr<PlansReading>> AwaitPlans(uint64_t after,
                                                                           std::chrono::milliseconds wait) = 0;
-  virtual boost::asio::awaitable<absl::StatusOr<EndpointsReading>> ReadEndpoints() = 0;
+  virtual boost::asio::awaitable<absl::StatusOr<EndpointsReading>> ReadEndpoints(Freshness freshness) = 0;
   /** What changed after a revision, waiting for a change if there is none; all endpoints if the store has forgotten. */
   virtual boost::asio::awaitable<absl::StatusOr<EndpointsReading>> ReadEndpointChanges(
       uint64_t after,
       std::chrono::milliseconds wait) = 0;
-  /** The registered entry instances; the answer may lag. */
-  virtual boost::asio::awaitable<absl::StatusOr<std::vector<Member>>> ReadMembers() = 0;
-  /** Registers this instance, or renews its registration. */
-  virtual boost::asio::awaitable<absl::Status> Register(const Member& self) = 0;
-  /** Ends the registration of this instance. */
-  virtual boost::asio::awaitable<absl::Status> Unregister() = 0;
+  /** The entry instances that one of them has written down; the answer may lag. */
+  virtual boost::asio::awaitable<absl::StatusOr<RosterReading>> ReadRoster() = 0;
+  /**
+   * Writes the entry instances down, unless somebody else has done so after `revision`.
+   * @return what is written down then, whoever wrote it
+   */
+  virtual boost::asio::awaitable<absl::StatusOr<RosterReading>> WriteRoster(const std::vector<Member>& members,
+                                                                            uint64_t revision) = 0;
 };
 
 }  // namespace sassafras
