Let seeds write the first roster; answer newcomers; give roles only once the fleet is known

Change: the first roster is written by seeds, which hear of all; others read it after the gathering time; a newcomer is answered; a peer that lags behind is told so; nobody reads in place of absent readers before the fleet is known.

--- a/libs/core/src/control.cc
+++ b/libs/core/src/control.cc
@@ -73,7 +73,8 @@
     Poll(parts, starting && parts.options.discovery, now, effects);
     return;
   }
-  if (now - lists.store_confirmed_at < kStoreStale)
+  const bool knows_fleet = !parts.options.discovery || KnowsFleet(parts, now);
+  if (now - lists.store_confirmed_at < kStoreStale || !knows_fleet)
     return;
   const auto fleet = static_cast<double>(std::max<size_t>(1, parts.members.CountServing(now)));
   const double chance = kFleetPollRate * std::chrono::duration<double>(kRolePeriod).count() / fleet;
--- a/libs/core/src/discovery.cc
+++ b/libs/core/src/discovery.cc
@@ -87,7 +87,7 @@
     read.wait = kChangeWait;
     return true;
   }
-  if (now - feed.confirmed_at < kProofStale)
+  if (now - feed.confirmed_at < kProofStale || !KnowsFleet(parts, now))
     return false;
   // Nobody has news: a few at random try, not all at once.
   const auto fleet = static_cast<double>(std::max<size_t>(1, parts.members.CountServing(now)));
--- a/libs/core/src/gossip.cc
+++ b/libs/core/src/gossip.cc
@@ -41,6 +41,8 @@
 constexpr milliseconds kFetchPeriod{200};
 /** News of leaving endpoints is compared with that of a peer at most this often. */
 constexpr milliseconds kComparePeriod{100};
+/** Peers that lag behind are told so at most this often. */
+constexpr milliseconds kTellPeriod{20};
 /** Load reports older than this are not passed on. */
 constexpr milliseconds kMaxLoadAge{200};
 /** Own reports younger than this are not replaced by a peer's. */
@@ -186,6 +188,18 @@
   effects.push_back(Effect::SendGossip{message.sender.peer_address, std::move(question)});
 }
 
+/** Tells a peer that lags behind what is held here: others may not know it yet, and then nobody else would. */
+void TellIfBehind(Parts& parts, const GossipMessage& message, TimePoint now, Effects& effects) {
+  const bool older_lists = message.generation < parts.lists.generation;
+  const bool other_endpoints = message.endpoints_digest != parts.feed.Digest();
+  const bool older_endpoints = other_endpoints && now - message.endpoints_age < parts.feed.confirmed_at;
+  const bool behind = parts.options.discovery && (older_lists || older_endpoints);
+  if (!behind || now - parts.last_told < kTellPeriod)
+    return;
+  parts.last_told = now;
+  effects.push_back(Effect::SendGossip{message.sender.peer_address, StartMessage(parts, now)});
+}
+
 /** Tells peers that suspect a request that it was answered here; returns whether it was. */
 bool Contradict(Parts& parts, uint64_t fingerprint, TimePoint now) {
   if (!parts.quarantine.IsProven(fingerprint, now))
@@ -248,7 +262,11 @@
   // Whoever loses the store hands its reading of it on at once.
   if (parts.members.NoteReaching(message.sender.name, message.sender.store_reachable, message.sender.heartbeat))
     parts.next_role_check = event.now;
+  const bool newcomer = parts.members.Find(message.sender.name) == nullptr;
   parts.members.Heard(message.sender, event.now);
+  // Whoever has just started knows only where to ask first.
+  if (newcomer && message.reply_to == 0)
+    effects.push_back(Effect::SendGossip{message.sender.peer_address, MakeMessage(parts, event.now)});
   for (const Member& member : message.members) {
     if (member.name != parts.self.name)
       parts.members.Heard(member, event.now);
@@ -263,6 +281,7 @@
   if (message.ask != 0)
     Reply(parts, message, event.now, effects);
   AskIfDifferent(parts, message, event.now, effects);
+  TellIfBehind(parts, message, event.now, effects);
   ListsTracker& lists = parts.lists;
   const bool confirms = message.reply_to != 0 && message.reply_to == lists.asked;
   const bool same_endpoints = !parts.options.discovery || message.endpoints_digest == parts.feed.Digest();
--- a/libs/core/src/parts.h
+++ b/libs/core/src/parts.h
@@ -74,6 +74,8 @@
 
   /** When a peer was last asked because it knew of other leaving endpoints. */
   TimePoint last_compared{};
+  /** When a peer that lags behind was last told so. */
+  TimePoint last_told{};
   TimePoint last_tick{};
   TimePoint next_gossip{};
   TimePoint next_probe_check{};
--- a/libs/core/src/roster.cc
+++ b/libs/core/src/roster.cc
@@ -47,8 +47,28 @@
   return static_cast<double>(written) < kLeastAlive * static_cast<double>(parts.roster.peers.size());
 }
 
+/** Whether others are told to start with this instance, so that it hears of all of them first. */
+bool IsSeed(const Parts& parts) {
+  const auto& seeds = parts.options.seed_peers;
+  return std::find(seeds.begin(), seeds.end(), parts.self.peer_address) != seeds.end();
+}
+
 bool IsWriter(const Parts& parts, TimePoint now) {
-  return parts.self.store_reachable && parts.members.RankForReaching(kWriterPurpose, parts.self_hash, now) == 0;
+  const Duration running = now - parts.options.start;
+  if (!parts.self.store_reachable || running < kGatherTime)
+    return false;
+  const bool nobody_wrote = parts.roster.peers.empty();
+  if (nobody_wrote && running < 2 * kGatherTime)
+    return IsSeed(parts);
+  return parts.members.RankForReaching(kWriterPurpose, parts.self_hash, now) == 0;
+}
+
+bool IsReadDue(const Parts& parts, TimePoint now) {
+  if (now - parts.roster.last_read < kReadPeriod)
+    return false;
+  const bool alone = parts.members.CountServing(now) <= 1;
+  const bool gathered = parts.roster.peers.empty() && now - parts.options.start >= kGatherTime + kReadPeriod;
+  return alone || gathered || !parts.roster.read;
 }
 
 }  // namespace
@@ -66,20 +86,18 @@
 }
 
 bool KnowsFleet(const Parts& parts, TimePoint now) {
-  return !parts.roster.peers.empty() || now - parts.options.start >= kGatherTime;
+  return !parts.roster.peers.empty() || now - parts.options.start >= 2 * kGatherTime;
 }
 
 void RefreshRoster(Parts& parts, TimePoint now, Effects& effects) {
   RosterState& roster = parts.roster;
   if (!parts.options.discovery || parts.self.leaving)
     return;
-  const bool alone = parts.members.CountServing(now) <= 1;
-  if ((alone || !roster.read) && now - roster.last_read >= kReadPeriod) {
+  if (IsReadDue(parts, now)) {
     roster.last_read = now;
     effects.push_back(Effect::ReadRoster{});
   }
-  const bool may_write = roster.read && now - parts.options.start >= kGatherTime;
-  if (!may_write || now - roster.last_write < kWritePeriod || !IsWriter(parts, now))
+  if (!roster.read || now - roster.last_write < kWritePeriod || !IsWriter(parts, now))
     return;
   std::vector<Member> members = MembersToWrite(parts, now);
   if (!IsOutdated(parts, members))
