--- a/libs/core/src/roster.cc
+++ b/libs/core/src/roster.cc
@@ -13,7 +13,7 @@
 using std::chrono::milliseconds;
 
 /** Time after the start in which gossip finds the others. */
-constexpr milliseconds kGatherTime{2'500};
+constexpr milliseconds kGatherTime{1'500};
 /** Shortest time between two writes, and between two reads of an instance that is alone. */
 constexpr milliseconds kWritePeriod{3'000};
 constexpr milliseconds kReadPeriod{900};
--- /dev/null
+++ b/tests/process/platform_test.py
@@ -0,0 +1,124 @@
+"""The path on the users' platform, with real processes against our own stand-in of its store."""
+import asyncio
+import pathlib
+import random
+import signal
+import sys
+import time
+
+sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1] / "platform"))
+import soak
+import soak_faults
+from callers import Callers
+from fleet import Fleet
+from promises import Promises, unserved_share
+
+
+def play(seed, act, entries=3):
+    """Runs a fleet under load while `act(fleet)` happens; returns the fleet and the callers."""
+    async def run():
+        fleet = Fleet(seed, entries)
+        fleet.findings, fleet.story, fleet.began = [], [], time.monotonic()
+        try:
+            await fleet.start()
+            callers = Callers(fleet, seed)
+            load = asyncio.ensure_future(callers.run())
+            await asyncio.sleep(1.0)
+            await act(fleet)
+            await asyncio.sleep(3.0)
+            callers.stop()
+            await load
+            fleet.findings += Promises(fleet, callers).broken()
+        finally:
+            await fleet.stop()
+        assert not fleet.findings, (fleet.findings[:5], str(fleet.dir))
+        fleet.remove_logs()
+        return fleet, callers
+    return asyncio.run(run())
+
+
+def test_platform_calm_load_is_served():
+    async def nothing(fleet):
+        await asyncio.sleep(2.0)
+    _, callers = play(1, nothing)
+    share, count = unserved_share(callers.sent, 0)
+    assert count > 50 and share < 0.02, (share, count)
+
+
+def test_platform_config_moves_a_route_everywhere():
+    async def move(fleet):
+        await fleet.move_route("orders")
+        moved = time.monotonic()
+        await asyncio.sleep(4.0)
+        late = [run for run in fleet.runs if run.path.startswith("/moving/") and run.arrived > moved + 2.5]
+        assert late and all(run.service == "orders" for run in late), len(late)
+    play(2, move)
+
+
+def test_platform_a_leaving_endpoint_gets_no_work():
+    async def leave(fleet):
+        endpoint = next(iter(fleet.endpoints.values()))
+        await fleet.drain(endpoint)
+        await asyncio.sleep(3.5)
+        late = [run for run in fleet.runs if run.endpoint == endpoint.name
+                and run.arrived > fleet.left[endpoint.name] + 2.4]
+        assert not late, late[0].call
+        await fleet.end(endpoint)
+    play(3, leave)
+
+
+def test_platform_planned_stops_cut_nothing():
+    async def stop(fleet):
+        for seed in range(2):
+            await soak_faults.planned_stop(fleet, random.Random(seed))
+            await fleet.wait_ready()
+    play(4, stop)
+
+
+def test_platform_the_store_is_away_and_forgets():
+    async def away(fleet):
+        for entry in fleet.entries:
+            entry.store.mode = "refuse"
+        await asyncio.sleep(3.0)
+        fleet.store.forget()
+        for entry in fleet.entries:
+            entry.store.mode = "pass"
+        await asyncio.sleep(3.0)
+        await fleet.move_route("orders")
+        await asyncio.sleep(3.0)
+        assert any(run.service == "orders" and run.path.startswith("/moving/") for run in fleet.runs)
+    _, callers = play(5, away)
+    share, count = unserved_share(callers.sent, 0)
+    assert count > 50 and share < 0.02, (share, count)
+
+
+def test_platform_all_instances_die_and_serve_again():
+    async def die(fleet):
+        for entry in fleet.entries:
+            entry.note(time.monotonic())
+            entry.process.send_signal(signal.SIGKILL)
+            entry.process.wait()
+        for entry in fleet.entries:
+            fleet.start_entry(entry)
+        await fleet.wait_ready()
+        for entry in fleet.entries:
+            entry.disturbed[-1][1] = time.monotonic()
+    play(6, die)
+
+
+def test_platform_store_calls_stay_few():
+    async def wait(fleet):
+        await asyncio.sleep(6.0)
+        fleet.store.calls.clear()
+        await asyncio.sleep(5.0)
+        calls = sum(fleet.store.calls.values())
+        # Three readers and three watchers wait two seconds or more each time: nothing else asks.
+        assert calls <= 20, fleet.store.calls
+    play(7, wait)
+
+
+def test_platform_fault_soak_short():
+    for seed in (1, 2):
+        fleet = asyncio.run(soak.play(seed, 6.0, 4, soak_faults.ALL))
+        assert not fleet.findings, (seed, fleet.story, fleet.findings[:5], str(fleet.dir))
+        fleet.remove_logs()
