Wait for endpoints' answers as long as a part of the work is worth

Change: answers are waited for at least a quarter of the usual time of the work. Test: 'a small instance with new connections' failed before (4 ms), passes now.

--- a/libs/core/src/asking.cc
+++ b/libs/core/src/asking.cc
@@ -25,6 +25,8 @@
 constexpr milliseconds kMinAskWait{4};
 constexpr milliseconds kMaxAskWait{60};
 constexpr float kAskWaitFactor = 3.0F;
+/** A call waits for answers at least this part of the usual time of its work. */
+constexpr float kWorkParts = 4.0F;
 /** A call waits for answers no longer than this part of its objective. */
 constexpr int kObjectiveParts = 8;
 /** Pause before a call asks again that found no endpoint with room. */
@@ -145,8 +147,12 @@
 }
 
 void ArmDecision(Parts& parts, CallState& call, TimePoint now, Effects& effects) {
-  const auto usual = std::chrono::duration_cast<Duration>(FloatMicros(parts.ask_rtt_us * kAskWaitFactor));
-  Duration wait = parts.ask_rtt_us > 0 ? std::clamp<Duration>(usual, kMinAskWait, kMaxAskWait) : Duration(kMaxAskWait);
+  const FloatMicros usual_answers(parts.ask_rtt_us * kAskWaitFactor);
+  // A choice without answers may cost several times the usual time of the work, so a part of that is worth waiting.
+  const FloatMicros worth_waiting(UsualLatency(parts, call) / kWorkParts);
+  const auto patient = std::chrono::duration_cast<Duration>(std::max(usual_answers, worth_waiting));
+  Duration wait =
+      parts.ask_rtt_us > 0 ? std::clamp<Duration>(patient, kMinAskWait, kMaxAskWait) : Duration(kMaxAskWait);
   wait = std::min<Duration>(wait, parts.At(call.plan).row.objective_latency / kObjectiveParts);
   call.decide_at = std::min(call.deadline, now + wait);
   effects.push_back(Effect::ArmAsk{call.ticket, call.decide_at});
--- a/libs/core/tests/asking_test.cc
+++ b/libs/core/tests/asking_test.cc
@@ -62,6 +62,20 @@
   CHECK(SingleInstance::Of<Dispatch>(instance.Post(Event::AskDue{instance.Now(), probes[0].call})).size() == 1);
 }
 
+TEST_CASE("a small instance with new connections: answers that are slower than usual are waited for") {
+  SingleInstance instance;
+  WithEndpoints(instance, 3, 0);
+  // Endpoints that were in use a moment ago answer within a millisecond.
+  const auto probes = SingleInstance::Of<Probe>(instance.Call());
+  instance.Advance(Millis(1));
+  REQUIRE(SingleInstance::Of<Dispatch>(instance.Answer(probes[0], 0, 1.0F)).size() == 1);
+  const auto armed = SingleInstance::Of<Effect::ArmAsk>(instance.Call());
+  REQUIRE(armed.size() == 1);
+  // A slow endpoint costs 400 ms more than the usual 100 ms: more than an answer that takes 20 ms.
+  CHECK(armed[0].at - instance.Now() > Millis(20));
+  CHECK(armed[0].at - instance.Now() <= Millis(400) / 8);
+}
+
 /** Lets a call ask until it is decided, while every endpoint reports the same. */
 Effects AskToTheEnd(SingleInstance& instance, Effects effects, uint32_t in_flight, Duration& waited) {
   const TimePoint start = instance.Now();
