--- a/libs/core/src/control.cc
+++ b/libs/core/src/control.cc
@@ -39,6 +39,8 @@
 constexpr seconds kStoreStale{6};
 /** Reads a second that all instances together make of a store nobody has news of. */
 constexpr double kFleetPollRate = 8.0;
+/** The same where each read is paid for. */
+constexpr double kDiscoveryPollRate = 2.0;
 constexpr seconds kRestorePeriod{5};
 constexpr seconds kSeatClaimPeriod{2};
 /** How far the platform's list may lag behind. */
@@ -77,7 +79,8 @@
   if (now - lists.store_confirmed_at < kStoreStale || !knows_fleet)
     return;
   const auto fleet = static_cast<double>(std::max<size_t>(1, parts.members.CountServing(now)));
-  const double chance = kFleetPollRate * std::chrono::duration<double>(kRolePeriod).count() / fleet;
+  const double rate = parts.options.discovery ? kDiscoveryPollRate : kFleetPollRate;
+  const double chance = rate * std::chrono::duration<double>(kRolePeriod).count() / fleet;
   if (std::uniform_real_distribution<double>(0.0, 1.0)(parts.random) < chance)
     Poll(parts, false, now, effects);
 }
@@ -135,6 +138,7 @@
 void RefreshRoles(Parts& parts, TimePoint now, Effects& effects) {
   parts.next_role_check = now + kRolePeriod;
   parts.members.Expire(now);
+  parts.members.LearnHeartbeatAge(now);
   const size_t fleet = parts.members.CountServing(now);
   if (fleet > parts.largest_fleet) {
     parts.largest_fleet = fleet;
--- a/libs/core/src/membership.cc
+++ b/libs/core/src/membership.cc
@@ -90,6 +90,24 @@
     entry.heard_at += pause;
 }
 
+void Membership::LearnHeartbeatAge(TimePoint now) {
+  constexpr int kWeightParts = 4;
+  /** How many times the usual age a heartbeat may have. */
+  constexpr int kPatience = 4;
+  Duration sum{};
+  int count = 0;
+  for (const Entry& entry : m_entries) {
+    if (now - entry.heard_at >= kSilentMost)
+      continue;
+    sum += now - entry.heard_at;
+    ++count;
+  }
+  if (count == 0)
+    return;
+  m_usual_age += (sum / count - m_usual_age) / kWeightParts;
+  m_silent_after = std::clamp<Duration>(m_usual_age * kPatience, kSilentLeast, kSilentMost);
+}
+
 const Membership::Entry* Membership::Find(std::string_view name) const {
   const auto found = std::find_if(m_entries.begin(), m_entries.end(),
                                   [name](const Entry& entry) { return entry.member.name == name; });
--- a/libs/core/src/membership.h
+++ b/libs/core/src/membership.h
@@ -13,8 +13,9 @@
 /** Entry instances known from the platform's list and from gossip; both lag and may be wrong. */
 class Membership {
  public:
-  /** An instance whose heartbeat has not advanced for this long is not handed to callers. */
-  static constexpr std::chrono::seconds kSilentAfter{5};
+  /** Bounds of the time after which an instance whose heartbeat has not advanced is not handed to callers. */
+  static constexpr std::chrono::milliseconds kSilentLeast{1'600};
+  static constexpr std::chrono::milliseconds kSilentMost{5'000};
   /** A silent instance that the platform no longer lists is forgotten after this long. */
   static constexpr std::chrono::hours kForgetAfter{2};
 
@@ -45,7 +46,13 @@
   /** After a pause of this process: nobody could be heard meanwhile. */
   void AddPause(Duration pause);
 
-  bool IsAlive(const Entry& entry, TimePoint now) const { return now - entry.heard_at < kSilentAfter; }
+  /**
+   * Learns how old heartbeats usually are here, which depends on the size of the fleet and its gossip: the older, the
+   * longer a member may be silent. Called every second.
+   */
+  void LearnHeartbeatAge(TimePoint now);
+
+  bool IsAlive(const Entry& entry, TimePoint now) const { return now - entry.heard_at < m_silent_after; }
   const std::vector<Entry>& All() const { return m_entries; }
   /** Returns the member of that name, or null. */
   const Entry* Find(std::string_view name) const;
@@ -64,6 +71,9 @@
   static void Advance(Entry& entry, uint32_t heartbeat, TimePoint now);
   Entry& FindOrAdd(const Member& member, TimePoint now);
   std::vector<Entry> m_entries;
+  /** Moving average of the age of heartbeats. */
+  Duration m_usual_age = kSilentMost;
+  Duration m_silent_after = kSilentMost;
 };
 
 }  // namespace sassafras
