Write to the log what an instance comes to believe; be less hasty with silent members

Cause: changes of endpoints, ejections, quarantines, silent members and the watching role changed decisions without a line. Change: the reducer notes them as data with version and source, the shell writes one line each, members of one second in one.

--- a/libs/core/include/core/effect.h
+++ b/libs/core/include/core/effect.h
@@ -12,6 +12,7 @@
 #include "core/call_handle.h"
 #include "core/dispatch_basis.h"
 #include "core/member.h"
+#include "core/note.h"
 #include "core/outcome.h"
 
 namespace sassafras {
@@ -122,6 +123,11 @@
   /** Accept no more connections and close idle ones; exit when no call is left. */
   struct CloseListeners {};
 
+  /** Write to the log what this instance has come to believe. */
+  struct WriteNote {
+    Note note;
+  };
+
   using Any = std::variant<Accepted,
                            Dispatch,
                            Reject,
@@ -138,7 +144,8 @@
                            RestoreLists,
                            ClaimSeat,
                            ReleaseSeat,
-                           CloseListeners>;
+                           CloseListeners,
+                           WriteNote>;
 };
 
 /** Effects of one event, in order. Reused between events so that none is allocated on the call path. */
--- a/libs/core/src/attempts.cc
+++ b/libs/core/src/attempts.cc
@@ -129,6 +129,8 @@
   if (change == Quarantine::Change::kNone)
     return;
   SpreadRumor(parts, {Kind::kSuspect, fingerprint, name_hash, Quarantine::kSuspectLifetime}, now);
+  if (change == Quarantine::Change::kQuarantined)
+    NoteQuarantined(parts, fingerprint, Quarantine::kQuarantineLifetime, "own calls");
   if (change == Quarantine::Change::kQuarantined)
     SpreadRumor(parts, {Kind::kQuarantine, fingerprint, 0, Quarantine::kQuarantineLifetime}, now);
 }
--- a/libs/core/src/control.cc
+++ b/libs/core/src/control.cc
@@ -56,6 +56,11 @@
   if (watch == parts.lists.watching)
     return;
   parts.lists.watching = watch;
+  parts.notes.push_back({watch ? Note::Kind::kWatching : Note::Kind::kNotWatching,
+                         parts.self.name,
+                         parts.members.CountServing(now),
+                         {},
+                         "rank among members"});
   effects.push_back(Effect::WatchStore{watch});
 }
 
@@ -135,10 +140,29 @@
     effects.push_back(Effect::ReadEndpoints{.after = parts.feed.as_of});
 }
 
+/** Notes for the log which members have fallen silent and which are back, one line for all of a kind. */
+void NoteMembers(Parts& parts, TimePoint now) {
+  Note silent{Note::Kind::kMembersSilent, {}, 0, {}, "heartbeats"};
+  Note back{Note::Kind::kMembersBack, {}, 0, {}, "heartbeats"};
+  for (const std::string& name : parts.members.TakeSilenced(now)) {
+    silent.subject = silent.subject.empty() ? name : silent.subject;
+    ++silent.version;
+  }
+  for (const std::string& name : parts.members.TakeReturned(now)) {
+    back.subject = back.subject.empty() ? name : back.subject;
+    ++back.version;
+  }
+  for (const Note& note : {silent, back}) {
+    if (note.version > 0)
+      parts.notes.push_back(note);
+  }
+}
+
 void RefreshRoles(Parts& parts, TimePoint now, Effects& effects) {
   parts.next_role_check = now + kRolePeriod;
   parts.members.Expire(now);
   parts.members.LearnHeartbeatAge(now);
+  NoteMembers(parts, now);
   const size_t fleet = parts.members.CountServing(now);
   if (fleet > parts.largest_fleet) {
     parts.largest_fleet = fleet;
--- a/libs/core/src/discovery.cc
+++ b/libs/core/src/discovery.cc
@@ -1,6 +1,7 @@
 #include "discovery.h"
 
 #include <algorithm>
+#include <array>
 #include <chrono>
 #include <memory>
 #include <random>
@@ -45,6 +46,20 @@
   return away ? feed.store_back_at + kLapseGrace - now : Duration::zero();
 }
 
+/** Notes for the log what the store says of endpoints, in the words of the latest change. */
+void NoteChanges(Parts& parts, const std::vector<EndpointChange>& news, const char* source) {
+  constexpr std::array<Note::Kind, 3> kKinds = {Note::Kind::kEndpointServing, Note::Kind::kEndpointLeaving,
+                                                Note::Kind::kEndpointGone};
+  for (const EndpointChange& change : news) {
+    Note note;
+    note.kind = kKinds[static_cast<size_t>(change.kind)];
+    note.subject = change.row.name;
+    note.version = change.revision;
+    note.source = source;
+    parts.notes.push_back(std::move(note));
+  }
+}
+
 /** Passes changes on to every peer at once: a change is rare, and late word of it costs requests. */
 void Broadcast(Parts& parts, const std::vector<EndpointChange>& news, TimePoint now, Effects& effects) {
   for (size_t start = 0; start < news.size(); start += kChangesPerMessage) {
@@ -119,6 +134,9 @@
   if (news.empty())
     return;
   ApplyDiscovered(parts, event.now);
+  // The first reading is one line of its own.
+  if (!first)
+    NoteChanges(parts, news, event.from_peer ? "peer" : "store");
   if (!first && !event.from_peer)
     Broadcast(parts, news, event.now, effects);
 }
@@ -157,6 +175,7 @@
   }
   if (!news.empty())
     ApplyDiscovered(parts, now);
+  NoteChanges(parts, news, "peer");
   if (!news.empty() && message.relay)
     RelayEndpoints(parts, std::move(news), now, effects);
   if (message.endpoints_as_of == 0)
--- a/libs/core/src/endpoint_news.cc
+++ b/libs/core/src/endpoint_news.cc
@@ -4,6 +4,8 @@
 #include <chrono>
 #include <cmath>
 
+#include <fmt/format.h>
+
 #include "parts.h"
 
 namespace sassafras {
@@ -44,7 +46,10 @@
   const ServiceState& service = parts.At(state.service);
   if (2 * (CountEjected(parts, service, now) + 1) > service.endpoints.size())
     return;
-  state.ejected_until = now + kFirstEjection * (1 << std::min(state.ejections, kMaxEjectionShift));
+  const auto pause = kFirstEjection * (1 << std::min(state.ejections, kMaxEjectionShift));
+  state.ejected_until = now + pause;
+  parts.notes.push_back(
+      {Note::Kind::kEndpointEjected, parts.endpoints.Row(endpoint).name, state.incarnation, pause, "own calls"});
   ++state.ejections;
 }
 
@@ -81,6 +86,10 @@
   SpreadRumor(parts, {Kind::kLeaving, state.name_hash, state.leaving_incarnation, kLeavingLifetime}, now);
 }
 
+void NoteQuarantined(Parts& parts, uint64_t fingerprint, std::chrono::milliseconds lifetime, const char* source) {
+  parts.notes.push_back({Note::Kind::kRequestQuarantined, fmt::format("{:016x}", fingerprint), 0, lifetime, source});
+}
+
 void SpreadRumor(Parts& parts, const GossipMessage::Rumor& rumor, TimePoint now) {
   if (parts.rumors.Add(rumor, now))
     parts.gossip_now = true;
--- a/libs/core/src/endpoint_news.h
+++ b/libs/core/src/endpoint_news.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chrono>
 #include <cstdint>
 
 #include "base/clock.h"
@@ -36,6 +37,9 @@
 /** Takes in that an incarnation of an endpoint leaves, and spreads it if that is new. */
 void NoteLeaving(Parts& parts, EndpointHandle endpoint, uint64_t incarnation, TimePoint now);
 
+/** Notes for the log that a request that crashes endpoints is refused from now on. */
+void NoteQuarantined(Parts& parts, uint64_t fingerprint, std::chrono::milliseconds lifetime, const char* source);
+
 /** Adds a fact to the rumours and asks for a gossip round at once if it is new. */
 void SpreadRumor(Parts& parts, const GossipMessage::Rumor& rumor, TimePoint now);
 
--- a/libs/core/src/gossip.cc
+++ b/libs/core/src/gossip.cc
@@ -231,7 +231,8 @@
     case Kind::kQuarantine:
       if (Contradict(parts, rumor.subject, now))
         return;
-      parts.quarantine.Add(rumor.subject, now + rumor.lifetime, now);
+      if (parts.quarantine.Add(rumor.subject, now + rumor.lifetime, now))
+        NoteQuarantined(parts, rumor.subject, rumor.lifetime, "peer");
       break;
     case Kind::kProven:
       parts.quarantine.Answered(rumor.subject, now);
--- a/libs/core/src/membership.cc
+++ b/libs/core/src/membership.cc
@@ -93,7 +93,7 @@
 void Membership::LearnHeartbeatAge(TimePoint now) {
   constexpr int kWeightParts = 4;
   /** How many times the usual age a heartbeat may have. */
-  constexpr int kPatience = 4;
+  constexpr int kPatience = 5;
   Duration sum{};
   int count = 0;
   for (const Entry& entry : m_entries) {
@@ -108,6 +108,25 @@
   m_silent_after = std::clamp<Duration>(m_usual_age * kPatience, kSilentLeast, kSilentMost);
 }
 
+std::vector<std::string> Membership::TakeChanged(bool alive, TimePoint now) {
+  std::vector<std::string> names;
+  for (Entry& entry : m_entries) {
+    if (IsAlive(entry, now) != alive || entry.told_alive == alive)
+      continue;
+    entry.told_alive = alive;
+    names.push_back(entry.member.name);
+  }
+  return names;
+}
+
+std::vector<std::string> Membership::TakeSilenced(TimePoint now) {
+  return TakeChanged(false, now);
+}
+
+std::vector<std::string> Membership::TakeReturned(TimePoint now) {
+  return TakeChanged(true, now);
+}
+
 const Membership::Entry* Membership::Find(std::string_view name) const {
   const auto found = std::find_if(m_entries.begin(), m_entries.end(),
                                   [name](const Entry& entry) { return entry.member.name == name; });
--- a/libs/core/src/membership.h
+++ b/libs/core/src/membership.h
@@ -14,7 +14,7 @@
 class Membership {
  public:
   /** Bounds of the time after which an instance whose heartbeat has not advanced is not handed to callers. */
-  static constexpr std::chrono::milliseconds kSilentLeast{1'600};
+  static constexpr std::chrono::milliseconds kSilentLeast{2'500};
   static constexpr std::chrono::milliseconds kSilentMost{5'000};
   /** A silent instance that the platform no longer lists is forgotten after this long. */
   static constexpr std::chrono::hours kForgetAfter{2};
@@ -29,6 +29,8 @@
     /** When the heartbeat last advanced here. */
     TimePoint heard_at;
     bool listed = false;
+    /** Whether it was said last that the member is alive. */
+    bool told_alive = true;
     /** State in the platform's list, to see when it changes. */
     bool listed_leaving = false;
   };
@@ -52,6 +54,11 @@
    */
   void LearnHeartbeatAge(TimePoint now);
 
+  /** Names of members that have fallen silent since the last call. */
+  std::vector<std::string> TakeSilenced(TimePoint now);
+  /** Names of members that are heard again since the last call. */
+  std::vector<std::string> TakeReturned(TimePoint now);
+
   bool IsAlive(const Entry& entry, TimePoint now) const { return now - entry.heard_at < m_silent_after; }
   const std::vector<Entry>& All() const { return m_entries; }
   /** Returns the member of that name, or null. */
@@ -67,6 +74,8 @@
   size_t RankForReaching(uint64_t purpose, uint64_t self_hash, TimePoint now) const;
 
  private:
+  /** Names of members whose life differs from what was told, among those that are `alive` now. */
+  std::vector<std::string> TakeChanged(bool alive, TimePoint now);
   static void SetIdentity(Entry& entry, const Member& member, TimePoint now);
   static void Advance(Entry& entry, uint32_t heartbeat, TimePoint now);
   Entry& FindOrAdd(const Member& member, TimePoint now);
--- a/libs/core/src/parts.h
+++ b/libs/core/src/parts.h
@@ -7,6 +7,7 @@
 
 #include "call_table.h"
 #include "core/state.h"
+#include "core/note.h"
 #include "core/state_options.h"
 #include "endpoint_feed.h"
 #include "endpoint_table.h"
@@ -65,6 +66,8 @@
   /** Moving average of the time in which an endpoint answers when asked. */
   float ask_rtt_us = 0;
   uint64_t probes_sent = 0;
+  /** What has changed in this instance's belief since the last event; Reduce() passes it on to the log. */
+  std::vector<Note> notes;
   /** Whether a new fact waits to be sent before the next gossip round. */
   bool gossip_now = false;
   /** Largest number of serving instances seen since the start. */
--- a/libs/core/src/reducer.cc
+++ b/libs/core/src/reducer.cc
@@ -1,5 +1,6 @@
 #include "core/reducer.h"
 
+#include <utility>
 #include <variant>
 
 #include "asking.h"
@@ -46,6 +47,9 @@
   // After a pause the first event may be a call as well as a tick.
   NotePause(state.MutableParts(), now, effects);
   std::visit(Router{state.MutableParts(), effects}, event);
+  for (Note& note : state.MutableParts().notes)
+    effects.push_back(Effect::WriteNote{std::move(note)});
+  state.MutableParts().notes.clear();
 }
 
 }  // namespace sassafras
--- a/libs/core/tests/discovery_test.cc
+++ b/libs/core/tests/discovery_test.cc
@@ -129,6 +129,24 @@
   CHECK(fixture.Serves());
 }
 
+TEST_CASE("what changes an instance's belief is noted for the log, with its version and source") {
+  Fixture fixture;
+  Event::EndpointsReceived event{fixture.instance.Now(), 11, false, {Leaving("e", 11)}};
+  const auto notes = SingleInstance::Of<Effect::WriteNote>(fixture.instance.Post(event));
+  REQUIRE(notes.size() == 1);
+  CHECK(notes[0].note.kind == Note::Kind::kEndpointLeaving);
+  CHECK(notes[0].note.subject == "e");
+  CHECK(notes[0].note.version == 11);
+  CHECK(std::string(notes[0].note.source) == "store");
+  fixture.HearPeers(3, 1, true);
+  fixture.instance.Advance(Millis(7'000));
+  bool silent = false;
+  for (const auto& effect :
+       SingleInstance::Of<Effect::WriteNote>(fixture.instance.Post(Event::Tick{fixture.instance.Now()})))
+    silent = silent || (effect.note.kind == Note::Kind::kMembersSilent && effect.note.version == 3);
+  CHECK(silent);
+}
+
 TEST_CASE("word of a leaving endpoint is passed on to every peer at once") {
   Fixture fixture;
   fixture.TellOfPeer(GossipMessage());
--- a/libs/core/tests/world.h
+++ b/libs/core/tests/world.h
@@ -173,6 +173,7 @@
   void On(size_t instance, const Effect::ClaimSeat& effect);
   void On(size_t instance, const Effect::ReleaseSeat& effect);
   void On(size_t instance, const Effect::CloseListeners& effect);
+  void On(size_t instance, const Effect::WriteNote& effect);
 
   void RunAt(size_t endpoint, size_t send, size_t instance, const Effect::Dispatch& dispatch);
   void EndAttempt(size_t instance,
--- a/libs/core/tests/world_effects.cc
+++ b/libs/core/tests/world_effects.cc
@@ -139,6 +139,8 @@
 
 void World::On(size_t /*instance*/, const Effect::ReadRoster& /*effect*/) {}
 
+void World::On(size_t /*instance*/, const Effect::WriteNote& /*effect*/) {}
+
 void World::On(size_t /*instance*/, const Effect::WriteRoster& /*effect*/) {}
 
 void World::On(size_t instance, const Effect::SendProbe& effect) {
--- a/libs/entry/src/entry_instance.cc
+++ b/libs/entry/src/entry_instance.cc
@@ -26,6 +26,7 @@
 #include "entry/page_source.h"
 #include "fleet_link.h"
 #include "net/listener.h"
+#include "note_log.h"
 #include "peers/gossip_socket.h"
 #include "peers/peer_rpc.h"
 #include "platform_link.h"
@@ -118,6 +119,7 @@
   void OnEffect(const Effect::ClaimSeat& effect) override { m_link->OnEffect(effect); }
   void OnEffect(const Effect::ReleaseSeat& effect) override { m_link->OnEffect(effect); }
   void OnEffect(const Effect::CloseListeners& effect) override;
+  void OnEffect(const Effect::WriteNote& effect) override { WriteNoteLine(effect.note); }
 
  private:
   /** One listening address. */
