--- a/libs/core/src/control.cc
+++ b/libs/core/src/control.cc
@@ -13,6 +13,7 @@
 #include "lists_apply.h"
 #include "parts.h"
 #include "roster.h"
+#include "watchers.h"
 
 namespace sassafras {
 namespace {
@@ -28,8 +29,6 @@
 constexpr seconds kRevalidateLimit{1};
 /** Instances that watch the store; the others learn from them. */
 constexpr size_t kWatchers = 2;
-/** With discovery a third of the instances may be turned away by the store at once. */
-constexpr size_t kDiscoveryWatchers = 4;
 /** Instances that try for each probe seat. */
 constexpr size_t kSeatCandidates = 2;
 constexpr uint64_t kWatchPurpose = 0x7761746368;
@@ -50,9 +49,10 @@
 
 void RefreshWatch(Parts& parts, TimePoint now, Effects& effects) {
   const bool serving = parts.phase != Phase::kClosing;
-  const size_t watchers = parts.options.discovery ? kDiscoveryWatchers : kWatchers;
-  const bool knows = !parts.options.discovery || KnowsFleet(parts, now);
-  const bool watch = serving && knows && parts.members.RankForReaching(kWatchPurpose, parts.self_hash, now) < watchers;
+  const bool chosen = parts.options.discovery
+                          ? IsWatcher(parts, now)
+                          : parts.members.RankForReaching(kWatchPurpose, parts.self_hash, now) < kWatchers;
+  const bool watch = serving && chosen;
   if (watch == parts.lists.watching)
     return;
   parts.lists.watching = watch;
@@ -305,6 +305,8 @@
     SendDueProbes(parts, now, effects);
   }
   RefreshDiscovery(parts, now, effects);
+  if (parts.options.discovery)
+    RefreshWatchers(parts, now, effects);
   if (now >= parts.next_role_check)
     RefreshRoles(parts, now, effects);
   CloseIfDue(parts, now, effects);
@@ -316,6 +318,8 @@
   TimePoint next = std::min({parts.next_gossip, parts.next_role_check, NextDiscovery(parts)});
   if (parts.probes.HoldsAny(now))
     next = std::min(next, parts.next_probe_check);
+  if (parts.options.discovery && parts.phase == Phase::kServing && !parts.lists.watching)
+    next = std::min(next, NextWatcherCheck(parts));
   if (parts.phase == Phase::kLeaving)
     next = std::min(next, parts.close_at);
   return std::max(next, now);
--- a/libs/core/src/discovery.cc
+++ b/libs/core/src/discovery.cc
@@ -113,6 +113,9 @@
 
 void OnEndpointsReceived(Parts& parts, const Event::EndpointsReceived& event, Effects& effects) {
   EndpointFeed& feed = parts.feed;
+  // Everything up to as_of is known, also of entries that came back as they were before.
+  if (event.as_of < feed.as_of)
+    return;
   std::vector<EndpointChange> news;
   const Duration gone_delay = GoneDelay(parts, event.now);
   for (const EndpointChange& change : event.changes) {
@@ -170,7 +173,9 @@
   EndpointFeed& feed = parts.feed;
   std::vector<EndpointChange> news;
   for (const EndpointChange& change : message.endpoint_changes) {
-    if (feed.Apply(change, GoneDelay(parts, now), now))
+    // News from before the latest reading, as a frozen instance passes it on when it wakes, would bring back the gone.
+    const bool old = change.revision <= feed.as_of;
+    if (!old && feed.Apply(change, GoneDelay(parts, now), now))
       news.push_back(change);
   }
   if (!news.empty())
@@ -183,8 +188,6 @@
   if (message.endpoints_digest == feed.Digest()) {
     feed.differs_since = {};
     feed.confirmed_at = std::max(feed.confirmed_at, now - message.endpoints_age);
-    // Who lists the same knows all that the other knows.
-    feed.as_of = std::max(feed.as_of, message.endpoints_as_of);
     return;
   }
   const bool peer_is_newer = now - message.endpoints_age > feed.confirmed_at;
@@ -198,8 +201,13 @@
 void RefreshDiscovery(Parts& parts, TimePoint now, Effects& effects) {
   if (!parts.options.discovery)
     return;
-  if (parts.feed.ExpireGone(now))
+  const std::vector<EndpointChange> expired = parts.feed.ExpireGone(now);
+  if (!expired.empty()) {
     ApplyDiscovered(parts, now);
+    NoteChanges(parts, expired, "store");
+    // Others were not told of entries that might still have come back.
+    Broadcast(parts, expired, now, effects);
+  }
   Effect::ReadEndpoints read;
   if (parts.phase == Phase::kClosing || !IsReadDue(parts, now, read))
     return;
--- a/libs/core/src/endpoint_feed.cc
+++ b/libs/core/src/endpoint_feed.cc
@@ -36,7 +36,7 @@
     return false;
   Known& known = m_known[change.row.name];
   const bool fresh = found == m_known.end();
-  if (!fresh && change.revision <= known.change.revision)
+  if (!fresh && change.revision <= std::max(known.change.revision, known.gone_revision))
     return false;
   if (!fresh && SaysTheSame(known.change, change) && known.gone_at == TimePoint::max()) {
     known.change.revision = change.revision;
@@ -47,9 +47,11 @@
   if (gone && gone_delay > Duration::zero() && known.change.kind != EndpointChange::Kind::kGone) {
     // Still used, and still part of the digest, until it counts as gone.
     known.gone_at = now + gone_delay;
-    known.change.revision = change.revision;
+    known.gone_revision = change.revision;
+    m_last_gone_at = std::max(m_last_gone_at, known.gone_at);
     m_next_expiry = std::min(m_next_expiry, known.gone_at);
-    return true;
+    // Nothing changes before that time, and nobody is told.
+    return false;
   }
   if (!fresh)
     Toggle(known.change);
@@ -88,18 +90,31 @@
   }
 }
 
-bool EndpointFeed::ExpireGone(TimePoint now) {
+uint64_t EndpointFeed::CompleteAsOf(TimePoint now) const {
+  uint64_t complete = as_of;
+  if (!AwaitsReturns(now))
+    return complete;
+  for (const auto& [name, known] : m_known) {
+    const bool kept = known.gone_at != TimePoint::max() && known.change.kind != EndpointChange::Kind::kGone;
+    if (kept)
+      complete = std::min(complete, known.gone_revision - 1);
+  }
+  return complete;
+}
+
+std::vector<EndpointChange> EndpointFeed::ExpireGone(TimePoint now) {
+  std::vector<EndpointChange> expired;
   if (now < m_next_expiry)
-    return false;
+    return expired;
   m_next_expiry = TimePoint::max();
-  bool changed = false;
   for (auto& [name, known] : m_known) {
     if (known.gone_at == TimePoint::max())
       continue;
     if (known.change.kind != EndpointChange::Kind::kGone && known.gone_at <= now) {
       Toggle(known.change);
       known.change.kind = EndpointChange::Kind::kGone;
-      changed = true;
+      known.change.revision = known.gone_revision;
+      expired.push_back(known.change);
     }
     const bool gone = known.change.kind == EndpointChange::Kind::kGone;
     m_next_expiry = std::min(m_next_expiry, gone ? known.gone_at + kGoneMemory : known.gone_at);
@@ -108,7 +123,7 @@
     const Known& known = entry.second;
     return known.change.kind == EndpointChange::Kind::kGone && now - known.gone_at >= kGoneMemory;
   });
-  return changed;
+  return expired;
 }
 
 }  // namespace sassafras
--- a/libs/core/src/endpoint_feed.h
+++ b/libs/core/src/endpoint_feed.h
@@ -19,12 +19,14 @@
     TimePoint cold_until{};
     /** When an entry that the store dropped counts as gone; the endpoint is used until then. */
     TimePoint gone_at = TimePoint::max();
+    /** Revision at which the store dropped it. */
+    uint64_t gone_revision = 0;
   };
 
   /**
    * Takes in a change unless a later one is known.
    * @param gone_delay  how long an endpoint that is no longer listed is still used
-   * @return whether it says anything new
+   * @return whether it says anything new that holds from now on
    */
   bool Apply(const EndpointChange& change, Duration gone_delay, TimePoint now);
   /** Takes in that the store lists only `listed` as of a revision; appends what is new to `news`. */
@@ -33,8 +35,13 @@
                     Duration gone_delay,
                     TimePoint now,
                     std::vector<EndpointChange>& news);
-  /** Ends the use of endpoints whose time has come; returns whether there were any. */
-  bool ExpireGone(TimePoint now);
+  /** Ends the use of endpoints whose time has come, and returns them. */
+  std::vector<EndpointChange> ExpireGone(TimePoint now);
+  /** Whether an entry that the store dropped may still be in use: then the digest tells of more than the store lists.
+   */
+  bool AwaitsReturns(TimePoint now) const { return now <= m_last_gone_at; }
+  /** Revision up to which All() is what the store lists; lower than as_of while dropped entries are still in use. */
+  uint64_t CompleteAsOf(TimePoint now) const;
   /** When ExpireGone() next has something to do. */
   TimePoint NextExpiry() const { return m_next_expiry; }
 
@@ -59,6 +66,8 @@
  private:
   void Toggle(const EndpointChange& change);
   absl::flat_hash_map<std::string, Known> m_known;
+  /** Latest time at which an entry that is still in use counts as gone. */
+  TimePoint m_last_gone_at{};
   uint64_t m_digest = 0;
   TimePoint m_next_expiry = TimePoint::max();
 };
--- a/libs/core/src/gossip.cc
+++ b/libs/core/src/gossip.cc
@@ -13,6 +13,7 @@
 #include "discovery.h"
 #include "endpoint_news.h"
 #include "parts.h"
+#include "watchers.h"
 
 namespace sassafras {
 namespace {
@@ -147,7 +148,7 @@
   message->generation = parts.lists.generation;
   message->store_age = duration_cast<milliseconds>(now - parts.lists.store_confirmed_at);
   message->endpoints_digest = parts.feed.Digest();
-  message->endpoints_as_of = parts.feed.as_of;
+  message->endpoints_as_of = parts.feed.CompleteAsOf(now);
   message->leaving_digest = parts.rumors.LeavingDigest();
   message->endpoints_age = duration_cast<milliseconds>(now - parts.feed.confirmed_at);
   return message;
@@ -183,9 +184,7 @@
   if (same || message.reply_to != 0 || now - parts.last_compared < kComparePeriod)
     return;
   parts.last_compared = now;
-  std::shared_ptr<GossipMessage> question = StartMessage(parts, now);
-  question->ask = parts.random();
-  effects.push_back(Effect::SendGossip{message.sender.peer_address, std::move(question)});
+  AskPeer(parts, message.sender.peer_address, parts.random(), now, effects);
 }
 
 /** Tells a peer that lags behind what is held here: others may not know it yet, and then nobody else would. */
@@ -281,6 +280,7 @@
   LearnEndpointsFromPeer(parts, message, event.now, effects);
   if (message.ask != 0)
     Reply(parts, message, event.now, effects);
+  NoteWatcherAnswer(parts, message);
   AskIfDifferent(parts, message, event.now, effects);
   TellIfBehind(parts, message, event.now, effects);
   ListsTracker& lists = parts.lists;
@@ -372,6 +372,12 @@
   }
 }
 
+void AskPeer(Parts& parts, const std::string& address, uint64_t number, TimePoint now, Effects& effects) {
+  std::shared_ptr<GossipMessage> question = StartMessage(parts, now);
+  question->ask = number;
+  effects.push_back(Effect::SendGossip{address, std::move(question)});
+}
+
 void AskPeers(Parts& parts, TimePoint now, Effects& effects) {
   parts.lists.asked = parts.random();
   auto message = MakeMessage(parts, now);
--- a/libs/core/src/gossip.h
+++ b/libs/core/src/gossip.h
@@ -38,6 +38,9 @@
 /** Tells every peer at once what this instance says of itself. */
 void TellOfSelf(Parts& parts, TimePoint now, Effects& effects);
 
+/** Asks one peer for all it knows, under a number that it repeats. */
+void AskPeer(Parts& parts, const std::string& address, uint64_t number, TimePoint now, Effects& effects);
+
 /** Asks a few peers for all they know; their answers confirm this instance's knowledge after a pause. */
 void AskPeers(Parts& parts, TimePoint now, Effects& effects);
 
--- a/libs/core/src/lists_apply.cc
+++ b/libs/core/src/lists_apply.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <string>
+#include <utility>
+#include <vector>
 
 #include <absl/container/flat_hash_set.h>
 
@@ -104,16 +106,31 @@
  * depends on names alone.
  */
 void AssignLongLane(Parts& parts, ServiceState& service) {
+  const auto share =
+      static_cast<size_t>(static_cast<double>(service.endpoints.size()) * service.row.long_share / 100.0);
+  const size_t count = std::min(service.endpoints.size(), std::max<size_t>(1, share));
+  if (count == service.endpoints.size()) {
+    for (const EndpointHandle endpoint : service.endpoints)
+      parts.At(endpoint).long_lane = true;
+    return;
+  }
   std::vector<EndpointHandle> order = service.endpoints;
   std::sort(order.begin(), order.end(), [&](EndpointHandle a, EndpointHandle b) {
     return HashCombine(kLaneSeed, parts.At(a).name_hash) < HashCombine(kLaneSeed, parts.At(b).name_hash);
   });
-  const auto share = static_cast<size_t>(static_cast<double>(order.size()) * service.row.long_share / 100.0);
-  const size_t count = std::min(order.size(), std::max<size_t>(1, share));
   for (size_t i = 0; i < order.size(); ++i)
     parts.At(order[i]).long_lane = i < count;
 }
 
+/** Moves the `count` candidates of [first, last) that come first in rendezvous order to the front. */
+void PickFirst(std::vector<std::pair<uint64_t, EndpointHandle>>::iterator first,
+               std::vector<std::pair<uint64_t, EndpointHandle>>::iterator last,
+               size_t count) {
+  const auto by_key = [](const auto& a, const auto& b) { return a.first < b.first; };
+  if (count < static_cast<size_t>(last - first))
+    std::nth_element(first, first + static_cast<std::ptrdiff_t>(count), last, by_key);
+}
+
 /**
  * Keeps the endpoints that come first for this instance in rendezvous order: most of them near, the others for when
  * those are full.
@@ -122,17 +139,23 @@
   if (candidates.size() <= kSubsetSize)
     return;
   const uint64_t seed = HashCombine(kSubsetSeed, parts.self_hash);
-  std::sort(candidates.begin(), candidates.end(), [&](EndpointHandle a, EndpointHandle b) {
-    return HashCombine(seed, parts.At(a).name_hash) < HashCombine(seed, parts.At(b).name_hash);
-  });
-  const auto is_near = [&](EndpointHandle endpoint) { return parts.At(endpoint).same_domain; };
-  const auto far = std::stable_partition(candidates.begin(), candidates.end(), is_near);
-  const auto near_count = static_cast<size_t>(far - candidates.begin());
-  const size_t far_count = candidates.size() - near_count;
+  std::vector<std::pair<uint64_t, EndpointHandle>> keyed;
+  keyed.reserve(candidates.size());
+  for (const EndpointHandle endpoint : candidates)
+    keyed.emplace_back(HashCombine(seed, parts.At(endpoint).name_hash), endpoint);
+  const auto far = std::stable_partition(keyed.begin(), keyed.end(),
+                                         [&](const auto& entry) { return parts.At(entry.second).same_domain; });
+  const auto near_count = static_cast<size_t>(far - keyed.begin());
+  const size_t far_count = keyed.size() - near_count;
   const size_t kept_far = std::max(std::min(far_count, kFarSubset), kSubsetSize - std::min(near_count, kSubsetSize));
   const size_t kept_near = kSubsetSize - kept_far;
-  candidates.erase(candidates.begin() + static_cast<std::ptrdiff_t>(kept_near), far);
-  candidates.resize(kSubsetSize);
+  PickFirst(keyed.begin(), far, kept_near);
+  PickFirst(far, keyed.end(), kept_far);
+  candidates.clear();
+  for (size_t i = 0; i < kept_near; ++i)
+    candidates.push_back(keyed[i].second);
+  for (size_t i = 0; i < kept_far; ++i)
+    candidates.push_back(keyed[near_count + i].second);
 }
 
 /** Makes the plan's branches; the credit of one that stays is kept. */
@@ -153,20 +176,36 @@
   plan.branches = std::move(branches);
 }
 
-void ApplyCandidates(Parts& parts, PlanState& plan) {
-  const Plan& row = plan.row;
+/** Endpoints of the service that a plan may use, whatever it is, or those that it names. */
+std::vector<EndpointHandle> CandidatesFor(Parts& parts, const Plan& row, ServiceHandle service) {
+  std::vector<EndpointHandle> candidates;
   const absl::flat_hash_set<std::string> permitted(row.endpoints.begin(), row.endpoints.end());
+  for (const EndpointHandle handle : parts.At(service).endpoints) {
+    const bool named = permitted.empty() || permitted.contains(parts.endpoints.Row(handle).name);
+    const bool lane = row.work == Work::kShort || parts.At(handle).long_lane;
+    // With discovery an endpoint that leaves is out at once and for good, so it is no candidate.
+    const bool stays = !parts.options.discovery || !parts.At(handle).leaving;
+    if (named && lane && stays)
+      candidates.push_back(handle);
+  }
+  KeepSubset(parts, candidates);
+  return candidates;
+}
+
+/** Candidates of plans that name no endpoints and run short work: most plans, and the same for all of a service. */
+using CommonCandidates = absl::flat_hash_map<uint32_t, std::vector<EndpointHandle>>;
+
+void ApplyCandidates(Parts& parts, PlanState& plan, CommonCandidates& common) {
+  const bool is_common = plan.row.endpoints.empty() && plan.row.work == Work::kShort;
   for (PlanBranch& branch : plan.branches) {
-    branch.candidates.clear();
-    for (const EndpointHandle handle : parts.At(branch.service).endpoints) {
-      const bool named = permitted.empty() || permitted.contains(parts.endpoints.Row(handle).name);
-      const bool lane = row.work == Work::kShort || parts.At(handle).long_lane;
-      // With discovery an endpoint that leaves is out at once and for good, so it is no candidate.
-      const bool stays = !parts.options.discovery || !parts.At(handle).leaving;
-      if (named && lane && stays)
-        branch.candidates.push_back(handle);
+    if (!is_common) {
+      branch.candidates = CandidatesFor(parts, plan.row, branch.service);
+      continue;
     }
-    KeepSubset(parts, branch.candidates);
+    const auto [found, added] = common.try_emplace(branch.service.Index());
+    if (added)
+      found->second = CandidatesFor(parts, plan.row, branch.service);
+    branch.candidates = found->second;
   }
 }
 
@@ -182,9 +221,10 @@
 void RefreshCandidates(Parts& parts) {
   for (ServiceState& service : parts.services)
     AssignLongLane(parts, service);
+  CommonCandidates common;
   for (PlanState& plan : parts.plans) {
     if (plan.active)
-      ApplyCandidates(parts, plan);
+      ApplyCandidates(parts, plan, common);
     else
       plan.branches.clear();
   }
--- a/libs/core/src/membership.cc
+++ b/libs/core/src/membership.cc
@@ -146,7 +146,7 @@
   }));
 }
 
-size_t Membership::RankForReaching(uint64_t purpose, uint64_t self_hash, TimePoint now) const {
+size_t Membership::RankForReaching(uint64_t purpose, uint64_t self_hash, TimePoint now, std::string_view domain) const {
   const auto self = std::find_if(m_entries.begin(), m_entries.end(),
                                  [&](const Entry& entry) { return entry.name_hash == self_hash; });
   const bool reaching = self == m_entries.end() || self->member.store_reachable;
@@ -154,6 +154,8 @@
   return static_cast<size_t>(std::count_if(m_entries.begin(), m_entries.end(), [&](const Entry& entry) {
     if (!IsAlive(entry, now) || entry.member.leaving || entry.name_hash == self_hash)
       return false;
+    if (!domain.empty() && entry.member.failure_domain != domain)
+      return false;
     if (entry.member.store_reachable != reaching)
       return entry.member.store_reachable;
     return HashCombine(purpose, entry.name_hash) < own;
--- a/libs/core/src/membership.h
+++ b/libs/core/src/membership.h
@@ -70,8 +70,11 @@
    * same view agree on it, and one member's coming or going moves others by one at most.
    */
   size_t RankFor(uint64_t purpose, uint64_t self_hash, TimePoint now) const;
-  /** Like RankFor(), but members that cannot reach the platform's store come after all others. */
-  size_t RankForReaching(uint64_t purpose, uint64_t self_hash, TimePoint now) const;
+  /**
+   * Like RankFor(), but members that cannot reach the platform's store come after all others.
+   * @param domain  counts members of this failure domain only; empty for all
+   */
+  size_t RankForReaching(uint64_t purpose, uint64_t self_hash, TimePoint now, std::string_view domain = {}) const;
 
  private:
   /** Names of members whose life differs from what was told, among those that are `alive` now. */
--- a/libs/core/src/parts.h
+++ b/libs/core/src/parts.h
@@ -23,6 +23,7 @@
 #include "rumor_board.h"
 #include "service_state.h"
 #include "timed_bucket.h"
+#include "watcher_state.h"
 
 namespace sassafras {
 
@@ -60,6 +61,7 @@
   Membership members;
   RumorBoard rumors;
   RosterState roster;
+  WatcherState watchers;
   ProbeSchedule probes;
   /** Questions to endpoints that this instance may still ask. */
   TimedBucket ask_budget;
--- a/libs/core/src/state.cc
+++ b/libs/core/src/state.cc
@@ -112,7 +112,7 @@
 }
 
 uint64_t State::EndpointsAsOf() const {
-  return m_parts->feed.as_of;
+  return m_parts->feed.CompleteAsOf(m_parts->last_tick);
 }
 
 std::vector<Member> State::ServingMembers() const {
--- a/libs/core/tests/discovery_test.cc
+++ b/libs/core/tests/discovery_test.cc
@@ -53,6 +53,7 @@
       message.sender.incarnation = 1;
       message.sender.heartbeat = heartbeat;
       message.sender.peer_address = "127.0.0.1:" + std::to_string(i);
+      message.sender.failure_domain = "a";
       message.sender.store_reachable = reaching;
       instance.Post(Event::GossipReceived{instance.Now(), message});
     }
@@ -211,6 +212,18 @@
   CHECK(sent[0].message->generation == 5);
 }
 
+TEST_CASE("old news, as a frozen peer passes it on when it wakes, brings no endpoint back that is gone") {
+  Fixture fixture;
+  fixture.instance.TakeEndpoints({}, true, 30);
+  GossipMessage late;
+  late.endpoint_changes = {SingleInstance::Change("e", 20)};
+  fixture.TellOfPeer(late);
+  CHECK(fixture.instance.GetState().KnownEndpoints().empty());
+  late.endpoint_changes = {SingleInstance::Change("new", 31)};
+  fixture.TellOfPeer(late);
+  CHECK(fixture.instance.GetState().KnownEndpoints().size() == 1);
+}
+
 TEST_CASE("an instance that missed news reads the store when a peer keeps knowing other endpoints") {
   Fixture fixture;
   GossipMessage message;
--- a/libs/entry/src/fleet_link.cc
+++ b/libs/entry/src/fleet_link.cc
@@ -23,7 +23,7 @@
 using std::chrono::milliseconds;
 
 /** How long a watch waits for a change of the plans; its end proves that there was none. */
-constexpr milliseconds kWatchWait{2'500};
+constexpr milliseconds kWatchWait{2'200};
 /** Longest time for a question to a peer. */
 constexpr milliseconds kPeerLimit{500};
 constexpr std::string_view kPlansPage = "/sassafras/peer/plans";
