--- a/libs/core/src/endpoint_feed.cc
+++ b/libs/core/src/endpoint_feed.cc
@@ -48,6 +48,7 @@
     // Still used, and still part of the digest, until it counts as gone.
     known.gone_at = now + gone_delay;
     known.gone_revision = change.revision;
+    known.listed_until = change.revision - 1;
     m_last_gone_at = std::max(m_last_gone_at, known.gone_at);
     m_next_expiry = std::min(m_next_expiry, known.gone_at);
     // Nothing changes before that time, and nobody is told.
@@ -87,6 +88,9 @@
   for (const EndpointChange& change : gone) {
     if (Apply(change, gone_delay, now))
       news.push_back(change);
+    // A whole listing tells that the entry is gone, not since when: it was there at the reading before.
+    Known& known = m_known[change.row.name];
+    known.listed_until = std::min(known.listed_until, as_of);
   }
 }
 
@@ -97,7 +101,7 @@
   for (const auto& [name, known] : m_known) {
     const bool kept = known.gone_at != TimePoint::max() && known.change.kind != EndpointChange::Kind::kGone;
     if (kept)
-      complete = std::min(complete, known.gone_revision - 1);
+      complete = std::min(complete, known.listed_until);
   }
   return complete;
 }
--- a/libs/core/src/endpoint_feed.h
+++ b/libs/core/src/endpoint_feed.h
@@ -19,8 +19,9 @@
     TimePoint cold_until{};
     /** When an entry that the store dropped counts as gone; the endpoint is used until then. */
     TimePoint gone_at = TimePoint::max();
-    /** Revision at which the store dropped it. */
+    /** Revision at which the store had dropped it, and the last one at which it is known to have listed it. */
     uint64_t gone_revision = 0;
+    uint64_t listed_until = 0;
   };
 
   /**
--- a/libs/core/tests/discovery_test.cc
+++ b/libs/core/tests/discovery_test.cc
@@ -99,6 +99,20 @@
   CHECK_FALSE(fixture.Serves());
 }
 
+TEST_CASE("while an entry is kept that the store has dropped, no more is promised to peers than is known") {
+  Fixture fixture;
+  fixture.StoreAnswers(false);
+  fixture.StoreAnswers(true);
+  fixture.instance.TakeEndpoints({}, true, 20);
+  fixture.Tick();
+  // The whole listing at 20 does not tell when the entry went; at 10 it was there.
+  CHECK(fixture.instance.GetState().EndpointsAsOf() == 10);
+  fixture.instance.Advance(Millis(2'100));
+  fixture.Tick();
+  CHECK(fixture.instance.GetState().EndpointsAsOf() == 20);
+  CHECK(fixture.instance.GetState().KnownEndpoints().empty());
+}
+
 TEST_CASE("an entry that is back within two seconds is kept") {
   Fixture fixture;
   fixture.StoreAnswers(false);
