--- a/tests/platform/fleet.py
+++ b/tests/platform/fleet.py
@@ -129,6 +129,9 @@
         return path
 
     def start_entry(self, entry):
+        """Starts the instance, unless a fault that overlaps has started it already."""
+        if entry.process is not None and entry.process.poll() is None:
+            return
         log = open(self.dir / f"{entry.name}.log", "ab")
         entry.process = subprocess.Popen([BUILD / "sassafrasd", "--settings", self.write_settings(entry)], stdout=log,
                                          stderr=log, stdin=subprocess.DEVNULL)
