Say each thing once: what reading the whole change found

Behaviour is as before. The answers that a call got were counted twice for the log (dispatch.cc, call_end.cc): BasisOfAnswers. Who watches the store stood in control.cc and watchers.cc under two constants of one value, and whether discovery is on was asked around three calls: IsWatcher, KnowsFleet and NextWatcherCheck now know it. Members whose life changed are taken by one function in place of three; one loop sends to peers within a reach; drawing a watcher sorts once, not for each member. Whether this instance reads for all is worked out only where its reach of the store changed. A maximum that an early return had made needless is gone; a parameter no longer hides the member of its name. The soak's parts no longer look into each other's private state.

--- a/libs/core/src/asking.cc
+++ b/libs/core/src/asking.cc
@@ -279,6 +279,16 @@
   return 0;
 }
 
+DispatchBasis BasisOfAnswers(const CallState& call) {
+  DispatchBasis basis;
+  basis.attempt = call.attempts;
+  basis.asked = call.asked_count;
+  const auto end = call.estimates_us.begin() + call.asked_count;
+  const auto unanswered = std::count(call.estimates_us.begin(), end, kUnknown);
+  basis.answered = static_cast<uint8_t>(call.asked_count - unanswered);
+  return basis;
+}
+
 bool StartAsking(Parts& parts, CallHandle handle, TimePoint now, Effects& effects) {
   CallState& call = *parts.calls.Find(handle);
   call.asked_count = 0;
--- a/libs/core/src/asking.h
+++ b/libs/core/src/asking.h
@@ -23,6 +23,9 @@
 /** Share of the endpoint's slots that an attempt of the call would take in all; 0 if it was not asked. */
 float AskedShare(const CallState& call, EndpointHandle endpoint);
 
+/** How many endpoints the call asked for its latest attempt and how many answered, for logs. */
+DispatchBasis BasisOfAnswers(const CallState& call);
+
 /** Takes in the answer of an asked endpoint; sends the call on once it is known where to. */
 void OnAskAnswered(Parts& parts, const Event::ProbeEnded& event, Effects& effects);
 
--- a/libs/core/src/attempts.cc
+++ b/libs/core/src/attempts.cc
@@ -129,10 +129,10 @@
   if (change == Quarantine::Change::kNone)
     return;
   SpreadRumor(parts, {Kind::kSuspect, fingerprint, name_hash, Quarantine::kSuspectLifetime}, now);
-  if (change == Quarantine::Change::kQuarantined)
-    NoteQuarantined(parts, fingerprint, Quarantine::kQuarantineLifetime, "own calls");
-  if (change == Quarantine::Change::kQuarantined)
-    SpreadRumor(parts, {Kind::kQuarantine, fingerprint, 0, Quarantine::kQuarantineLifetime}, now);
+  if (change != Quarantine::Change::kQuarantined)
+    return;
+  NoteQuarantined(parts, fingerprint, Quarantine::kQuarantineLifetime, "own calls");
+  SpreadRumor(parts, {Kind::kQuarantine, fingerprint, 0, Quarantine::kQuarantineLifetime}, now);
 }
 
 void LearnFromEnd(Parts& parts, const Event::AttemptEnded& event, const CallState* call) {
--- a/libs/core/src/call_end.cc
+++ b/libs/core/src/call_end.cc
@@ -2,11 +2,10 @@
 
 #include <algorithm>
 #include <chrono>
-#include <cmath>
-#include <limits>
 #include <random>
 #include <utility>
 
+#include "asking.h"
 #include "parts.h"
 
 namespace sassafras {
@@ -92,16 +91,12 @@
 
 /** What the endpoints that the call asked have said. */
 DispatchBasis BasisOf(const CallState& call) {
-  DispatchBasis basis;
-  basis.attempt = call.attempts;
-  basis.asked = call.asked_count;
-  float best = std::numeric_limits<float>::infinity();
-  for (size_t i = 0; i < call.asked_count; ++i) {
-    basis.answered += std::isinf(call.estimates_us[i]) ? 0 : 1;
-    best = std::min(best, call.estimates_us[i]);
-  }
-  if (!std::isinf(best))
+  DispatchBasis basis = BasisOfAnswers(call);
+  const auto end = call.estimates_us.begin() + call.asked_count;
+  if (basis.answered > 0) {
+    const float best = *std::min_element(call.estimates_us.begin(), end);
     basis.estimate = std::chrono::microseconds(static_cast<int64_t>(best));
+  }
   return basis;
 }
 
--- a/libs/core/src/control.cc
+++ b/libs/core/src/control.cc
@@ -27,11 +27,8 @@
 constexpr seconds kPauseLimit{1};
 /** How long a resumed instance holds calls back to confirm its lists. */
 constexpr seconds kRevalidateLimit{1};
-/** Instances that watch the store; the others learn from them. */
-constexpr size_t kWatchers = 2;
 /** Instances that try for each probe seat. */
 constexpr size_t kSeatCandidates = 2;
-constexpr uint64_t kWatchPurpose = 0x7761746368;
 constexpr uint64_t kSeatPurpose = 0x73656174;
 /** How often a watcher also reads the store, and how old proof may get before others read it. */
 constexpr seconds kWatcherPollPeriod{1};
@@ -48,11 +45,7 @@
 constexpr seconds kLeaveSpread{2};
 
 void RefreshWatch(Parts& parts, TimePoint now, Effects& effects) {
-  const bool serving = parts.phase != Phase::kClosing;
-  const bool chosen = parts.options.discovery
-                          ? IsWatcher(parts, now)
-                          : parts.members.RankForReaching(kWatchPurpose, parts.self_hash, now) < kWatchers;
-  const bool watch = serving && chosen;
+  const bool watch = parts.phase != Phase::kClosing && IsWatcher(parts, now);
   if (watch == parts.lists.watching)
     return;
   parts.lists.watching = watch;
@@ -80,8 +73,7 @@
     Poll(parts, starting && parts.options.discovery, now, effects);
     return;
   }
-  const bool knows_fleet = !parts.options.discovery || KnowsFleet(parts, now);
-  if (now - lists.store_confirmed_at < kStoreStale || !knows_fleet)
+  if (now - lists.store_confirmed_at < kStoreStale || !KnowsFleet(parts, now))
     return;
   const auto fleet = static_cast<double>(std::max<size_t>(1, parts.members.CountServing(now)));
   const double rate = parts.options.discovery ? kDiscoveryPollRate : kFleetPollRate;
@@ -142,19 +134,11 @@
 
 /** Notes for the log which members have fallen silent and which are back, one line for all of a kind. */
 void NoteMembers(Parts& parts, TimePoint now) {
-  Note silent{Note::Kind::kMembersSilent, {}, 0, {}, "heartbeats"};
-  Note back{Note::Kind::kMembersBack, {}, 0, {}, "heartbeats"};
-  for (const std::string& name : parts.members.TakeSilenced(now)) {
-    silent.subject = silent.subject.empty() ? name : silent.subject;
-    ++silent.version;
-  }
-  for (const std::string& name : parts.members.TakeReturned(now)) {
-    back.subject = back.subject.empty() ? name : back.subject;
-    ++back.version;
-  }
-  for (const Note& note : {silent, back}) {
-    if (note.version > 0)
-      parts.notes.push_back(note);
+  for (const bool alive : {false, true}) {
+    const std::vector<std::string> names = parts.members.TakeChanged(alive, now);
+    const Note::Kind kind = alive ? Note::Kind::kMembersBack : Note::Kind::kMembersSilent;
+    if (!names.empty())
+      parts.notes.push_back({kind, names.front(), names.size(), {}, "heartbeats"});
   }
 }
 
@@ -305,8 +289,7 @@
     SendDueProbes(parts, now, effects);
   }
   RefreshDiscovery(parts, now, effects);
-  if (parts.options.discovery)
-    RefreshWatchers(parts, now, effects);
+  RefreshWatchers(parts, now, effects);
   if (now >= parts.next_role_check)
     RefreshRoles(parts, now, effects);
   CloseIfDue(parts, now, effects);
@@ -315,11 +298,9 @@
 TimePoint NextTickOf(const Parts& parts, TimePoint now) {
   if (parts.gossip_now || CountWaiting(parts) > 0)
     return now + kTickPeriod;
-  TimePoint next = std::min({parts.next_gossip, parts.next_role_check, NextDiscovery(parts)});
+  TimePoint next = std::min({parts.next_gossip, parts.next_role_check, NextDiscovery(parts), NextWatcherCheck(parts)});
   if (parts.probes.HoldsAny(now))
     next = std::min(next, parts.next_probe_check);
-  if (parts.options.discovery && parts.phase == Phase::kServing && !parts.lists.watching)
-    next = std::min(next, NextWatcherCheck(parts));
   if (parts.phase == Phase::kLeaving)
     next = std::min(next, parts.close_at);
   return std::max(next, now);
--- a/libs/core/src/discovery.cc
+++ b/libs/core/src/discovery.cc
@@ -125,7 +125,7 @@
   if (event.whole)
     feed.RemoveOthers(event.changes, event.as_of, gone_delay, event.now, news);
   const bool first = feed.as_of == 0;
-  feed.as_of = std::max(feed.as_of, event.as_of);
+  feed.as_of = event.as_of;
   if (!event.may_lag)
     feed.confirmed_at = std::max(feed.confirmed_at, event.now - event.age);
   // The next change may come at any time.
@@ -147,15 +147,15 @@
 void OnStoreRead(Parts& parts, const Event::StoreRead& event, Effects& effects) {
   EndpointFeed& feed = parts.feed;
   const bool changed = parts.self.store_reachable != event.ok;
-  const bool has_role = parts.lists.watching || IsReader(parts, event.now);
-  parts.self.store_reachable = event.ok;
   if (changed) {
+    const bool has_role = parts.lists.watching || IsReader(parts, event.now);
+    parts.self.store_reachable = event.ok;
     parts.members.NoteReaching(parts.self.name, event.ok, parts.self.heartbeat);
     parts.next_role_check = event.now;
+    // Only of those that read for all does anybody have to know at once.
+    if (has_role)
+      TellOfSelf(parts, event.now, effects);
   }
-  // Only of those that read for all does anybody have to know at once.
-  if (changed && has_role)
-    TellOfSelf(parts, event.now, effects);
   if (!event.ok) {
     ++feed.failures;
     feed.store_failing = true;
--- a/libs/core/src/dispatch.cc
+++ b/libs/core/src/dispatch.cc
@@ -56,17 +56,12 @@
 
 /** What the latest attempt of the call, at `state`, was chosen on. */
 DispatchBasis BasisOf(const CallState& call, const EndpointState& state, TimePoint now) {
-  DispatchBasis basis;
-  basis.attempt = call.attempts;
+  DispatchBasis basis = BasisOfAnswers(call);
   basis.hedge = call.outstanding > 1;
-  basis.asked = call.asked_count;
   const EndpointHandle chosen = call.tried[call.attempts - 1u];
   for (size_t i = 0; i < call.asked_count; ++i) {
     const float estimate = call.estimates_us[i];
-    if (std::isinf(estimate))
-      continue;
-    ++basis.answered;
-    if (call.asked[i] == chosen)
+    if (call.asked[i] == chosen && !std::isinf(estimate))
       basis.estimate = std::chrono::microseconds(static_cast<int64_t>(estimate));
   }
   basis.slowdown = state.slowdown;
--- a/libs/core/src/endpoint_feed.h
+++ b/libs/core/src/endpoint_feed.h
@@ -32,7 +32,7 @@
   bool Apply(const EndpointChange& change, Duration gone_delay, TimePoint now);
   /** Takes in that the store lists only `listed` as of a revision; appends what is new to `news`. */
   void RemoveOthers(const std::vector<EndpointChange>& listed,
-                    uint64_t as_of,
+                    uint64_t as_of_revision,
                     Duration gone_delay,
                     TimePoint now,
                     std::vector<EndpointChange>& news);
--- a/libs/core/src/gossip.cc
+++ b/libs/core/src/gossip.cc
@@ -311,13 +311,14 @@
 
 namespace {
 
-void SendToNearPeers(Parts& parts,
-                     const std::shared_ptr<const GossipMessage>& message,
-                     TimePoint now,
-                     Effects& effects) {
+void SendToPeers(Parts& parts,
+                 Reach reach,
+                 const std::shared_ptr<const GossipMessage>& message,
+                 TimePoint now,
+                 Effects& effects) {
   for (const Membership::Entry& entry : parts.members.All()) {
     const bool self = entry.member.name == parts.self.name;
-    if (!self && IsWithin(parts, entry, Reach::kAliveNear, now))
+    if (!self && IsWithin(parts, entry, reach, now))
       effects.push_back(Effect::SendGossip{entry.member.peer_address, message});
   }
 }
@@ -341,7 +342,7 @@
 void TellOfEndpoints(Parts& parts, std::vector<EndpointChange> changes, TimePoint now, Effects& effects) {
   std::shared_ptr<GossipMessage> message = StartMessage(parts, now);
   message->endpoint_changes = std::move(changes);
-  SendToNearPeers(parts, message, now, effects);
+  SendToPeers(parts, Reach::kAliveNear, message, now, effects);
   auto relayed = std::make_shared<GossipMessage>(*message);
   relayed->relay = true;
   SendToRelays(parts, relayed, now, effects);
@@ -350,7 +351,7 @@
 void RelayEndpoints(Parts& parts, std::vector<EndpointChange> changes, TimePoint now, Effects& effects) {
   std::shared_ptr<GossipMessage> message = StartMessage(parts, now);
   message->endpoint_changes = std::move(changes);
-  SendToNearPeers(parts, message, now, effects);
+  SendToPeers(parts, Reach::kAliveNear, message, now, effects);
 }
 
 void TellOfLists(Parts& parts, TimePoint now, Effects& effects) {
@@ -365,11 +366,7 @@
 }
 
 void TellOfSelf(Parts& parts, TimePoint now, Effects& effects) {
-  const std::shared_ptr<const GossipMessage> message = StartMessage(parts, now);
-  for (const Membership::Entry& entry : parts.members.All()) {
-    if (entry.member.name != parts.self.name && parts.members.IsAlive(entry, now))
-      effects.push_back(Effect::SendGossip{entry.member.peer_address, message});
-  }
+  SendToPeers(parts, Reach::kAlive, StartMessage(parts, now), now, effects);
 }
 
 void AskPeer(Parts& parts, const std::string& address, uint64_t number, TimePoint now, Effects& effects) {
--- a/libs/core/src/membership.cc
+++ b/libs/core/src/membership.cc
@@ -119,14 +119,6 @@
   return names;
 }
 
-std::vector<std::string> Membership::TakeSilenced(TimePoint now) {
-  return TakeChanged(false, now);
-}
-
-std::vector<std::string> Membership::TakeReturned(TimePoint now) {
-  return TakeChanged(true, now);
-}
-
 const Membership::Entry* Membership::Find(std::string_view name) const {
   const auto found = std::find_if(m_entries.begin(), m_entries.end(),
                                   [name](const Entry& entry) { return entry.member.name == name; });
--- a/libs/core/src/membership.h
+++ b/libs/core/src/membership.h
@@ -54,10 +54,8 @@
    */
   void LearnHeartbeatAge(TimePoint now);
 
-  /** Names of members that have fallen silent since the last call. */
-  std::vector<std::string> TakeSilenced(TimePoint now);
-  /** Names of members that are heard again since the last call. */
-  std::vector<std::string> TakeReturned(TimePoint now);
+  /** Names of members that are `alive` now, or are not, and were not when this was last asked. */
+  std::vector<std::string> TakeChanged(bool alive, TimePoint now);
 
   bool IsAlive(const Entry& entry, TimePoint now) const { return now - entry.heard_at < m_silent_after; }
   const std::vector<Entry>& All() const { return m_entries; }
@@ -77,8 +75,6 @@
   size_t RankForReaching(uint64_t purpose, uint64_t self_hash, TimePoint now, std::string_view domain = {}) const;
 
  private:
-  /** Names of members whose life differs from what was told, among those that are `alive` now. */
-  std::vector<std::string> TakeChanged(bool alive, TimePoint now);
   static void SetIdentity(Entry& entry, const Member& member, TimePoint now);
   static void Advance(Entry& entry, uint32_t heartbeat, TimePoint now);
   Entry& FindOrAdd(const Member& member, TimePoint now);
--- a/libs/core/src/parts.h
+++ b/libs/core/src/parts.h
@@ -6,8 +6,8 @@
 #include <absl/container/flat_hash_map.h>
 
 #include "call_table.h"
-#include "core/state.h"
 #include "core/note.h"
+#include "core/state.h"
 #include "core/state_options.h"
 #include "endpoint_feed.h"
 #include "endpoint_table.h"
--- a/libs/core/src/roster.cc
+++ b/libs/core/src/roster.cc
@@ -86,7 +86,7 @@
 }
 
 bool KnowsFleet(const Parts& parts, TimePoint now) {
-  return !parts.roster.peers.empty() || now - parts.options.start >= 2 * kGatherTime;
+  return !parts.options.discovery || !parts.roster.peers.empty() || now - parts.options.start >= 2 * kGatherTime;
 }
 
 void RefreshRoster(Parts& parts, TimePoint now, Effects& effects) {
--- a/libs/core/src/roster.h
+++ b/libs/core/src/roster.h
@@ -13,7 +13,7 @@
 
 /**
  * Whether this instance knows enough of the others to tell which of them read the store for all: it has a roster, or
- * has had time to hear of them.
+ * has had time to hear of them. Without discovery there is no roster, and it always does.
  */
 bool KnowsFleet(const Parts& parts, TimePoint now);
 
--- a/libs/core/src/watchers.h
+++ b/libs/core/src/watchers.h
@@ -24,7 +24,7 @@
 /** Takes in that a peer has answered. */
 void NoteWatcherAnswer(Parts& parts, const GossipMessage& message);
 
-/** When RefreshWatchers() next has something to do. */
+/** When RefreshWatchers() next has something to do; never where this instance watches itself. */
 TimePoint NextWatcherCheck(const Parts& parts);
 
 }  // namespace sassafras
--- a/libs/entry/src/entry_instance.cc
+++ b/libs/entry/src/entry_instance.cc
@@ -43,6 +43,7 @@
 using std::chrono::milliseconds;
 
 constexpr std::chrono::seconds kPoolSweep{5};
+
 StateOptions MakeOptions(const Settings& settings, const Clock& clock) {
   StateOptions options;
   options.self.name = settings.instance;
--- a/tests/platform/endpoint_standin.py
+++ b/tests/platform/endpoint_standin.py
@@ -28,6 +28,9 @@
     def crash(self):
         self._server.stop()
 
+    def is_up(self):
+        return self._server.is_serving()
+
     def entry(self, sequence=1):
         """What the endpoint says of itself in the store."""
         return {"service": self.service, "address": f"127.0.0.1:{self.port}", "zone": self.zone, "version": "v1",
--- a/tests/platform/fault_proxy.py
+++ b/tests/platform/fault_proxy.py
@@ -21,8 +21,7 @@
 
     def reset_all(self):
         """Resets the connections that are open now; new ones work."""
-        for writer in list(self._server._writers):
-            abort(writer)
+        self._server.reset_all()
 
     async def _serve(self, reader, writer):
         if self.mode == "refuse":
--- a/tests/platform/fleet.py
+++ b/tests/platform/fleet.py
@@ -83,6 +83,8 @@
                        Route("moving", "/moving/", "shop", True, 1.5)]
         self.version, self._names, self._tasks = 1, 0, []
         self.store_disturbed = []
+        # What was found wrong, and what was done when.
+        self.findings, self.story, self.began = [], [], time.monotonic()
 
     async def start(self):
         await self.store.start(self.store_port)
--- a/tests/platform/http_wire.py
+++ b/tests/platform/http_wire.py
@@ -75,8 +75,15 @@
             self._writers.discard(writer)
             writer.close()
 
+    def is_serving(self):
+        return self._server is not None and self._server.is_serving()
+
+    def reset_all(self):
+        """Resets the connections that are open now."""
+        for writer in list(self._writers):
+            abort(writer)
+
     def stop(self):
         if self._server is not None:
             self._server.close()
-        for writer in list(self._writers):
-            abort(writer)
+        self.reset_all()
--- a/tests/platform/soak.py
+++ b/tests/platform/soak.py
@@ -38,7 +38,6 @@
     """Plays one seed; returns what was found wrong and the fleet."""
     rng = random.Random(seed)
     fleet = Fleet(seed, entries)
-    fleet.findings, fleet.story, fleet.began = [], [], time.monotonic()
     try:
         await fleet.start()
         callers = Callers(fleet, rng.random(), count=callers_count)
--- a/tests/platform/soak_faults.py
+++ b/tests/platform/soak_faults.py
@@ -199,7 +199,7 @@
         fleet.proxies[name].delay = 0.0
         if fleet.proxies[name].mode in ("silent", "deaf"):
             fleet.proxies[name].mode = "pass"
-        if fleet.proxies[name].mode == "refuse" and endpoint._server._server and endpoint._server._server.is_serving():
+        if fleet.proxies[name].mode == "refuse" and endpoint.is_up():
             fleet.proxies[name].mode = "pass"
 
 
--- a/tests/process/platform_test.py
+++ b/tests/process/platform_test.py
@@ -18,7 +18,6 @@
     """Runs a fleet under load while `act(fleet)` happens; returns the fleet and the callers."""
     async def run():
         fleet = Fleet(seed, entries)
-        fleet.findings, fleet.story, fleet.began = [], [], time.monotonic()
         try:
             await fleet.start()
             callers = Callers(fleet, seed)
