Overload: scarce slots go to calls that end in time; held calls take slots that answers free

A call was rejected as overloaded beside idle endpoints that had failed often, because the weight of failures in the estimate counted as time.

Change: the share of probed endpoints without a free slot says whether slots are scarce; while they are, a call that would miss its objective, counted from its caller's first try, is rejected at once. A rejection judges time without the weight of failures, and only if no other probed endpoint has room. While the probe budget is low, a held call waits for the free slot that an answer shows instead of being rejected.

--- a/libs/core/include/core/dispatch_basis.h
+++ b/libs/core/include/core/dispatch_basis.h
@@ -18,6 +18,8 @@
   /** Slowdown that the endpoint last reported, and the age of that report. */
   float slowdown = 1.0F;
   std::chrono::microseconds report_age{};
+  /** Share of the endpoint's slots in use with the attempt, from its probe answer; 0 if not known. */
+  float utilization = 0;
 };
 
 }  // namespace sassafras
--- a/libs/core/src/attempts.cc
+++ b/libs/core/src/attempts.cc
@@ -236,8 +236,10 @@
     else if (call->attempts_outstanding == 0)
       RetryOrReject(parts, event, effects);
   }
-  if (service.IsValid())
-    DispatchWaiting(parts, parts.At(service), event.now, effects);
+  if (!service.IsValid())
+    return;
+  DispatchHeldCall(parts, event.endpoint, event.load, event.now, effects);
+  DispatchWaiting(parts, parts.At(service), event.now, effects);
 }
 
 }  // namespace sassafras
--- a/libs/core/src/dispatch.cc
+++ b/libs/core/src/dispatch.cc
@@ -65,6 +65,7 @@
       basis.estimate = std::chrono::microseconds(static_cast<int64_t>(estimate));
   }
   basis.slowdown = state.slowdown;
+  basis.utilization = call.utilizations[call.attempts - 1u];
   if (state.reported_at != TimePoint())
     basis.report_age = std::chrono::duration_cast<std::chrono::microseconds>(now - state.reported_at);
   return basis;
--- a/libs/core/src/load_probing.cc
+++ b/libs/core/src/load_probing.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <chrono>
+#include <cmath>
 #include <limits>
 
 #include "call_end.h"
@@ -65,6 +66,10 @@
 constexpr float kInitialLatencyUs = 100'000.0F;
 constexpr float kWarmupSlowdown = 2.0F;
 constexpr float kUnhealthySlowdown = 5.0F;
+/** Utilization of an endpoint whose slots are all in use and that has no queue. */
+constexpr float kAllSlots = 1.0F;
+/** Share of probed endpoints without a free slot above which free slots of the service are scarce. */
+constexpr float kScarceFullShare = 0.5F;
 constexpr float kNoEstimate = std::numeric_limits<float>::infinity();
 
 float ExpectedLatency(StateParts& parts, const CallState& call) {
@@ -88,28 +93,34 @@
   return static_cast<float>(std::max(1u, load.slots > 0 ? load.slots : state.slots));
 }
 
-/** Estimates how long an attempt at the endpoint would take, in microseconds, from the load it just reported. */
+/** Factor by which an endpoint has to be faster than others to be chosen over them. */
+float AversionFactor(const EndpointState& state) {
+  const float failures = 1.0F + kFailureWeight * state.failure_rate;
+  return state.same_failure_domain ? failures : failures * kRemoteLatencyFactor;
+}
+
+/**
+ * Estimates how long an attempt at the endpoint would take, in microseconds, from the load it just reported; multiplied
+ * by its AversionFactor().
+ */
 float EstimateLatency(StateParts& parts,
                       const CallState& call,
                       EndpointHandle endpoint,
                       const LoadReport& load,
                       TimePoint now) {
   const EndpointState& state = parts.At(endpoint);
+  const ServiceState& service = parts.ServiceOf(call);
   const float slots = SlotCount(state, load);
   const float occupied = ReportedOccupancy(state, load) + 1.0F;
+  const float queued = std::max(0.0F, occupied - slots) / slots;
   float slowdown = std::max(load.slowdown, 0.1F) * LearnedSlowdown(state, now);
   if (occupied > kNearFullUtilization * slots)
-    slowdown *= std::max(1.0F, parts.ServiceOf(call).near_full_slowdown);
+    slowdown *= std::max(1.0F, service.near_full_slowdown);
   if (now < state.warmup_until)
     slowdown *= kWarmupSlowdown;
   if (load.unhealthy)
     slowdown *= kUnhealthySlowdown;
-  const float queued = std::max(0.0F, occupied - slots) / slots;
-  float estimate = ExpectedLatency(parts, call) * slowdown * (1.0F + queued);
-  estimate *= 1.0F + kFailureWeight * state.failure_rate;
-  if (!state.same_failure_domain)
-    estimate *= kRemoteLatencyFactor;
-  return estimate;
+  return ExpectedLatency(parts, call) * slowdown * (1.0F + queued) * AversionFactor(state);
 }
 
 bool WasProbed(const CallState& call, EndpointHandle endpoint) {
@@ -177,12 +188,20 @@
   effects.push_back(Effect::ArmProbeWaitTimer{call.ticket, call.decide_at});
 }
 
-/** Returns the eligible endpoint with the lowest estimate; invalid if no eligible endpoint answered. */
-EndpointHandle BestProbedEndpoint(StateParts& parts, const CallState& call, TimePoint now, float& estimate) {
+/**
+ * Returns the eligible endpoint with the lowest estimate among those with at most `max_utilization`; invalid if there
+ * is none that answered.
+ */
+EndpointHandle BestProbedEndpoint(StateParts& parts,
+                                  const CallState& call,
+                                  float max_utilization,
+                                  TimePoint now,
+                                  float& estimate) {
   EndpointHandle best;
   estimate = kNoEstimate;
   for (size_t i = 0; i < call.probed_count; ++i) {
-    if (call.estimates_us[i] < estimate && IsEligible(parts, call, call.probed[i], now)) {
+    const bool has_room = call.probed_utilizations[i] <= max_utilization;
+    if (has_room && call.estimates_us[i] < estimate && IsEligible(parts, call, call.probed[i], now)) {
       best = call.probed[i];
       estimate = call.estimates_us[i];
     }
@@ -233,18 +252,64 @@
 float MaxAcceptableLatency(StateParts& parts, const CallState& call, TimePoint now) {
   const float left = FloatMicros(call.deadline - now).count();
   const float objective = FloatMicros(parts.At(call.plan).config.objective_latency).count();
-  const float elapsed = FloatMicros(now - call.arrived_at).count();
+  // The objective counts from the caller's first try. A caller that comes back after a rejection has missed it, and a
+  // slot given to it would make another caller miss it too.
+  const float elapsed = FloatMicros(now - call.arrived_at + call.spent_before).count();
   return std::min(left, kMaxObjectiveFractionWhenFull * objective - elapsed);
 }
 
-/** Lets the call probe again after a delay; returns false if it has waited long enough or the budget is too low. */
-bool ScheduleReprobe(StateParts& parts, CallHandle handle, TimePoint now, Effects& effects) {
+/** Returns the share of probed endpoints without a free slot. It halves with time, so that a crest is soon forgotten.
+ */
+float FullShareAt(const ServiceState& service, TimePoint now) {
+  constexpr std::chrono::duration<float> kHalfLife{0.3F};
+  const std::chrono::duration<float> age = now - service.full_share_at;
+  return service.full_share * std::exp2(-(age / kHalfLife));
+}
+
+/**
+ * Whether the call should be rejected rather than sent to the endpoint, because it would end too late there and its
+ * slot is needed by calls that end in time. `estimate` is the one by which the endpoint was chosen.
+ */
+bool WouldWasteSlot(StateParts& parts, const CallState& call, EndpointHandle endpoint, float estimate, TimePoint now) {
+  // An endpoint that fails often is a bad choice, but its answers take no longer.
+  const float latency = estimate / AversionFactor(parts.At(endpoint));
+  const bool scarce =
+      ProbedUtilization(call, endpoint) > kAllSlots || FullShareAt(parts.ServiceOf(call), now) > kScarceFullShare;
+  return scarce && latency > MaxAcceptableLatency(parts, call, now);
+}
+
+/** Whether the call waits for a slot to become free or for its next probes. */
+bool IsHeld(const CallState* call) {
+  return call != nullptr && call->stage == CallState::Stage::kProbing && call->reprobe_pending;
+}
+
+void AddHeld(StateParts& parts, ServiceState& service, CallHandle handle) {
+  std::vector<CallHandle>& held = service.held_calls;
+  std::erase_if(held, [&](CallHandle other) { return other == handle || !IsHeld(parts.calls.Find(other)); });
+  held.push_back(handle);
+}
+
+/**
+ * Holds the call until it may probe again, or, while the probe budget is low, until an answer shows a free slot.
+ * @param endpoint  the best endpoint so far
+ * @return false if the call was held long enough, or if probing again costs more than `endpoint` is worth
+ */
+bool HoldForBetter(StateParts& parts,
+                   CallHandle handle,
+                   EndpointHandle endpoint,
+                   float estimate,
+                   TimePoint now,
+                   Effects& effects) {
   CallState& call = *parts.calls.Find(handle);
   const Duration max_hold = parts.At(call.plan).config.objective_latency / kObjectiveLatencyDivisor;
-  if (now + kReprobeDelay - call.arrived_at > max_hold || parts.load_probe_budget.FillLevel() < kReprobeBudgetLevel)
+  if (now + kReprobeDelay - call.arrived_at > max_hold)
+    return false;
+  const bool may_reprobe = parts.load_probe_budget.FillLevel() >= kReprobeBudgetLevel;
+  if (!may_reprobe && !WouldWasteSlot(parts, call, endpoint, estimate, now))
     return false;
   call.reprobe_pending = true;
-  call.decide_at = now + kReprobeDelay;
+  call.decide_at = may_reprobe ? now + kReprobeDelay : call.arrived_at + max_hold;
+  AddHeld(parts, parts.ServiceOf(call), handle);
   effects.push_back(Effect::ArmProbeWaitTimer{call.ticket, call.decide_at});
   return true;
 }
@@ -253,18 +318,20 @@
 void FinishProbing(StateParts& parts, CallHandle handle, TimePoint now, Effects& effects) {
   CallState& call = *parts.calls.Find(handle);
   float estimate = 0;
-  EndpointHandle endpoint = BestProbedEndpoint(parts, call, now, estimate);
+  EndpointHandle endpoint = BestProbedEndpoint(parts, call, kNoEstimate, now, estimate);
   if (call.probing_for_hedge) {
     HedgeIfWorthwhile(parts, handle, endpoint, estimate, now, effects);
     return;
   }
   const bool has_estimate = endpoint.IsValid();
   const float expected = ExpectedLatency(parts, call);
-  if (has_estimate && estimate > kGoodEnoughFactor * expected && ScheduleReprobe(parts, handle, now, effects))
+  if (has_estimate && estimate > kGoodEnoughFactor * expected &&
+      HoldForBetter(parts, handle, endpoint, estimate, now, effects))
     return;
-  // Rejects a call that would end too late at a full endpoint. This applies to retries after a refusal as well: with
-  // precedence they would make other calls late.
-  if (has_estimate && estimate > MaxAcceptableLatency(parts, call, now) && ProbedUtilization(call, endpoint) > 1.0F) {
+  if (has_estimate && WouldWasteSlot(parts, call, endpoint, estimate, now))
+    endpoint = BestProbedEndpoint(parts, call, kAllSlots, now, estimate);
+  // This applies to retries after a refusal as well: with precedence they would make other calls late.
+  if (has_estimate && (!endpoint.IsValid() || WouldWasteSlot(parts, call, endpoint, estimate, now))) {
     EndRejected(parts, handle, call.may_have_run ? Reason::kConnectionBroken : Reason::kOverloaded, now, effects);
     return;
   }
@@ -357,7 +424,12 @@
     const auto index = static_cast<size_t>(probed - call->probed.begin());
     const EndpointState& state = parts.At(event.endpoint);
     call->estimates_us[index] = estimate;
-    call->probed_utilizations[index] = (ReportedOccupancy(state, event.load) + 1.0F) / SlotCount(state, event.load);
+    const float utilization = (ReportedOccupancy(state, event.load) + 1.0F) / SlotCount(state, event.load);
+    call->probed_utilizations[index] = utilization;
+    ServiceState& service = parts.ServiceOf(*call);
+    service.full_share = FullShareAt(service, event.now);
+    service.full_share_at = event.now;
+    UpdateRate(service.full_share, utilization > kAllSlots);
   } else {
     RecordFailure(parts, event.endpoint, event.now);
   }
@@ -371,11 +443,45 @@
     FinishProbing(parts, event.call, event.now, effects);
 }
 
+void DispatchHeldCall(StateParts& parts,
+                      EndpointHandle endpoint,
+                      const LoadReport& load,
+                      TimePoint now,
+                      Effects& effects) {
+  const EndpointState& state = parts.At(endpoint);
+  if (!load.present || !state.service.IsValid() || parts.At(state.service).held_calls.empty())
+    return;
+  if (ReportedOccupancy(state, load) + 1.0F > SlotCount(state, load))
+    return;
+  CallHandle chosen;
+  for (const CallHandle handle : parts.At(state.service).held_calls) {
+    const CallState* call = parts.calls.Find(handle);
+    if (!IsHeld(call) || !IsEligible(parts, *call, endpoint, now))
+      continue;
+    const float estimate = EstimateLatency(parts, *call, endpoint, load, now) / AversionFactor(state);
+    if (estimate > MaxAcceptableLatency(parts, *call, now))
+      continue;
+    const CallState* other = parts.calls.Find(chosen);
+    if (other == nullptr || parts.At(call->plan).config.priority < parts.At(other->plan).config.priority)
+      chosen = handle;
+  }
+  if (CallState* call = parts.calls.Find(chosen)) {
+    call->reprobe_pending = false;
+    Dispatch(parts, chosen, endpoint, now, effects);
+  }
+}
+
 void OnProbeWaitExpired(StateParts& parts, const Event::ProbeWaitExpired& event, Effects& effects) {
   const CallState* call = parts.calls.Find(event.call);
   if (call == nullptr || !IsAwaitingProbes(*call) || event.now < call->decide_at)
     return;
   if (call->reprobe_pending) {
+    // Without probes the endpoint would be chosen blindly, and most of them are full.
+    if (parts.load_probe_budget.FillLevel() < kLowBudgetLevel) {
+      EndRejected(parts, event.call, call->may_have_run ? Reason::kConnectionBroken : Reason::kOverloaded, event.now,
+                  effects);
+      return;
+    }
     if (!StartLoadProbing(parts, event.call, event.now, effects))
       EndRejected(parts, event.call, Reason::kNoEndpoint, event.now, effects);
     return;
--- a/libs/core/src/service_state.h
+++ b/libs/core/src/service_state.h
@@ -6,6 +6,7 @@
 #include "attempt_budget.h"
 #include "base/clock.h"
 #include "base/handle.h"
+#include "core/call_handle.h"
 #include "lists/plan.h"
 #include "lists/service.h"
 #include "wait_queue.h"
@@ -17,6 +18,8 @@
   Service config;
   bool active = false;
   std::vector<EndpointHandle> endpoints;
+  /** Calls that probed endpoints without finding a free slot and wait for one; may hold calls that wait no longer. */
+  std::vector<CallHandle> held_calls;
   /** One queue per Work value, so that short calls never wait behind long ones. */
   std::array<WaitQueue, 2> queues;
   /** Virtual time of fair queueing: virtual finish time of the last call dispatched from a queue. */
@@ -28,6 +31,9 @@
   AttemptBudget hedge_budget;
   /** Moving average of the factor by which attempts were slower at endpoints with few free slots. */
   float near_full_slowdown = 1.4F;
+  /** Moving average of the share of probed endpoints that had no free slot, and the time of its last update. */
+  float full_share = 0;
+  TimePoint full_share_at{};
   /** Moving average of the load of other instances at an endpoint, from load reports. */
   float other_instances_load = 0;
 
--- a/libs/core/tests/ask_first_test.cc
+++ b/libs/core/tests/ask_first_test.cc
@@ -1,6 +1,8 @@
 #include <doctest/doctest.h>
 
+#include <functional>
 #include <string>
+#include <utility>
 
 #include "core/gossip_message.h"
 #include "single_instance.h"
@@ -78,11 +80,14 @@
   CHECK(timers[0].at - instance.Now() <= Millis(400) / 8);
 }
 
+/** Returns the number of requests that the endpoint of this name reports. */
+using LoadOfEndpoint = std::function<uint32_t(const std::string& name)>;
+
 /**
- * Answers a call's probes with the same load until it is dispatched or rejected; returns the last effects.
+ * Answers a call's probes until it is dispatched or rejected; returns the last effects.
  * @param waited  set to the time that passed
  */
-Effects ProbeUntilDecided(SingleInstance& instance, Effects effects, uint32_t in_flight, Duration& waited) {
+Effects ProbeUntilDecided(SingleInstance& instance, Effects effects, const LoadOfEndpoint& load, Duration& waited) {
   const TimePoint start = instance.Now();
   for (int i = 0; i < 100; ++i) {
     const bool decided = !SingleInstance::EffectsOfType<Dispatch>(effects).empty() ||
@@ -94,7 +99,7 @@
     Effects next_effects;
     for (const SendProbe& probe : probes) {
       call = probe.call;
-      const Effects& more_effects = instance.AnswerProbe(probe, in_flight, 1.0F);
+      const Effects& more_effects = instance.AnswerProbe(probe, load(instance.EndpointName(probe.endpoint)), 1.0F);
       next_effects.insert(next_effects.end(), more_effects.begin(), more_effects.end());
     }
     const auto timers = SingleInstance::EffectsOfType<Effect::ArmProbeWaitTimer>(next_effects);
@@ -109,6 +114,12 @@
   return effects;
 }
 
+/** As above, with the same load at every endpoint. */
+Effects ProbeUntilDecided(SingleInstance& instance, Effects effects, uint32_t in_flight, Duration& waited) {
+  return ProbeUntilDecided(
+      instance, std::move(effects), [in_flight](const std::string&) { return in_flight; }, waited);
+}
+
 TEST_CASE(
     "when the queues of all endpoints are full, a call is held briefly, then rejected with a time to retry after") {
   SingleInstance instance;
@@ -133,6 +144,151 @@
   CHECK(waited <= Millis(400) / 8);
 }
 
+/** Lets `calls` calls end at the endpoint with an error of its own, as an endpoint with a partial fault does. */
+void FailCallsAt(SingleInstance& instance, const std::string& name, int calls) {
+  const auto load = [&](const std::string& endpoint) { return endpoint == name ? 0u : 60u; };
+  for (int i = 0; i < calls; ++i) {
+    Duration waited{};
+    const auto dispatches =
+        SingleInstance::EffectsOfType<Dispatch>(ProbeUntilDecided(instance, instance.ReceiveCall(), load, waited));
+    REQUIRE(dispatches.size() == 1);
+    REQUIRE(instance.EndpointName(dispatches[0].endpoint) == name);
+    instance.Advance(Millis(100));
+    Event::AttemptEnded ended;
+    ended.now = instance.Now();
+    ended.call = dispatches[0].call;
+    ended.endpoint = dispatches[0].endpoint;
+    ended.failure_status = true;
+    instance.HandleEvent(ended);
+  }
+}
+
+TEST_CASE("while endpoints fail part of their requests, calls are not rejected as long as one has a free slot") {
+  SingleInstance instance;
+  AddEndpoints(instance, 3, 0);
+  FailCallsAt(instance, "near0", 1);
+  FailCallsAt(instance, "near1", 30);
+  FailCallsAt(instance, "near2", 30);
+  // The endpoint that fails least has a long queue; the others are idle.
+  const auto load = [](const std::string& endpoint) { return endpoint == "near0" ? 18u : 0u; };
+  Duration waited{};
+  const Effects effects = ProbeUntilDecided(instance, instance.ReceiveCall(), load, waited);
+  CHECK(SingleInstance::EffectsOfType<Reject>(effects).empty());
+  CHECK(SingleInstance::EffectsOfType<Dispatch>(effects).size() == 1);
+}
+
+TEST_CASE("a short queue at endpoints that fail part of their requests does not make a call too late") {
+  SingleInstance instance;
+  AddEndpoints(instance, 3, 0);
+  for (const char* name : {"near0", "near1", "near2"})
+    FailCallsAt(instance, name, 12);
+  Duration waited{};
+  const Effects effects = ProbeUntilDecided(instance, instance.ReceiveCall(), 6, waited);
+  CHECK(SingleInstance::EffectsOfType<Reject>(effects).empty());
+  CHECK(SingleInstance::EffectsOfType<Dispatch>(effects).size() == 1);
+}
+
+/** Reports the end of an attempt with an answer that carries the endpoint's load. */
+const Effects& EndAttempt(SingleInstance& instance, const Dispatch& attempt, uint32_t in_flight) {
+  Event::AttemptEnded ended;
+  ended.now = instance.Now();
+  ended.call = attempt.call;
+  ended.endpoint = attempt.endpoint;
+  ended.load.present = true;
+  ended.load.in_flight = in_flight;
+  ended.load.slots = 6;
+  return instance.HandleEvent(ended);
+}
+
+TEST_CASE("at the crest a held call takes the slot that an answer shows to be free, without another probe") {
+  SingleInstance instance;
+  AddEndpoints(instance, 3, 0);
+  Duration waited{};
+  const auto running =
+      SingleInstance::EffectsOfType<Dispatch>(ProbeUntilDecided(instance, instance.ReceiveCall(), 5, waited));
+  REQUIRE(running.size() == 1);
+  const auto probes = SingleInstance::EffectsOfType<SendProbe>(instance.ReceiveCall());
+  for (const SendProbe& probe : probes)
+    CHECK(SingleInstance::EffectsOfType<Reject>(instance.AnswerProbe(probe, 30, 1.0F)).empty());
+  instance.Advance(Millis(5));
+  const Effects& effects = EndAttempt(instance, running[0], 5);
+  const auto dispatches = SingleInstance::EffectsOfType<Dispatch>(effects);
+  REQUIRE(dispatches.size() == 1);
+  CHECK(dispatches[0].endpoint == running[0].endpoint);
+  CHECK(dispatches[0].call == probes[0].call);
+  CHECK(SingleInstance::EffectsOfType<SendProbe>(effects).empty());
+}
+
+TEST_CASE("at the crest a held call does not take a slot of an endpoint that is still full") {
+  SingleInstance instance;
+  AddEndpoints(instance, 3, 0);
+  Duration waited{};
+  const auto running =
+      SingleInstance::EffectsOfType<Dispatch>(ProbeUntilDecided(instance, instance.ReceiveCall(), 5, waited));
+  REQUIRE(running.size() == 1);
+  for (const SendProbe& probe : SingleInstance::EffectsOfType<SendProbe>(instance.ReceiveCall()))
+    instance.AnswerProbe(probe, 30, 1.0F);
+  CHECK(SingleInstance::EffectsOfType<Dispatch>(EndAttempt(instance, running[0], 7)).empty());
+}
+
+/** Answers all probes of the effects: one endpoint is full, the others are idle but run work five times slower. */
+Effects AnswerSlowOrFull(SingleInstance& instance, const std::vector<SendProbe>& probes, size_t full) {
+  Effects effects;
+  for (size_t i = 0; i < probes.size(); ++i)
+    effects = instance.AnswerProbe(probes[i], i < full ? 12 : 0, i < full ? 1.0F : 5.0F);
+  return effects;
+}
+
+TEST_CASE("while most endpoints are full, a slot is not given to a call that would end late") {
+  for (const size_t full : {1u, 2u}) {
+    CAPTURE(full);
+    SingleInstance instance;
+    AddEndpoints(instance, 3, 0);
+    Duration waited{};
+    for (int i = 0; full == 2 && i < 3; ++i)
+      ProbeUntilDecided(instance, instance.ReceiveCall(), 30, waited);
+    Effects effects = instance.ReceiveCall();
+    for (int round = 0; round < 10 && !effects.empty(); ++round) {
+      const auto probes = SingleInstance::EffectsOfType<SendProbe>(effects);
+      effects = AnswerSlowOrFull(instance, probes, full);
+      const auto timers = SingleInstance::EffectsOfType<Effect::ArmProbeWaitTimer>(effects);
+      if (timers.empty())
+        break;
+      instance.Advance(timers.back().at - instance.Now());
+      effects = instance.HandleEvent(Event::ProbeWaitExpired{instance.Now(), probes[0].call});
+    }
+    CHECK(SingleInstance::EffectsOfType<Reject>(effects).size() == (full == 2 ? 1 : 0));
+    CHECK(SingleInstance::EffectsOfType<Dispatch>(effects).size() == (full == 2 ? 0 : 1));
+  }
+}
+
+TEST_CASE("while free slots are scarce, they go to callers that can still be answered in time") {
+  for (const Millis limit : {Millis(2'000), Millis(1'600)}) {
+    CAPTURE(limit.count());
+    SingleInstance instance;
+    AddEndpoints(instance, 6, 0);
+    Duration waited{};
+    for (int i = 0; i < 5; ++i)
+      ProbeUntilDecided(instance, instance.ReceiveCall(), 30, waited);
+    const auto load = [](const std::string& endpoint) { return endpoint == "near0" || endpoint == "near1" ? 0u : 30u; };
+    const Effects effects = ProbeUntilDecided(instance, instance.ReceiveCall(limit), load, waited);
+    // The second caller has used up its objective of 400 ms on tries that were rejected.
+    const bool in_time = limit == Millis(2'000);
+    CHECK(SingleInstance::EffectsOfType<Dispatch>(effects).size() == (in_time ? 1 : 0));
+    CHECK(SingleInstance::EffectsOfType<Reject>(effects).size() == (in_time ? 0 : 1));
+  }
+}
+
+TEST_CASE("a caller that comes back after a rejection is served as soon as slots are free again") {
+  SingleInstance instance;
+  AddEndpoints(instance, 6, 0);
+  Duration waited{};
+  ProbeUntilDecided(instance, instance.ReceiveCall(), 30, waited);
+  instance.Advance(Millis(1'000));
+  const Effects effects = ProbeUntilDecided(instance, instance.ReceiveCall(Millis(1'600)), 0, waited);
+  CHECK(SingleInstance::EffectsOfType<Dispatch>(effects).size() == 1);
+}
+
 TEST_CASE("callers that retry after a rejection have no precedence under overload") {
   for (const Millis limit : {Millis(2'000), Millis(1'300)}) {
     CAPTURE(limit.count());
--- a/libs/entry/src/call_log.cc
+++ b/libs/entry/src/call_log.cc
@@ -28,9 +28,9 @@
 void CallLog::AddAttempt(std::string_view endpoint, const DispatchBasis& basis) {
   ++m_attempt_count;
   fmt::format_to(std::back_inserter(m_trace),
-                 "{}{}:{} asked={}/{} estimate={:.0f}ms slowdown={:.2f} report_age={:.0f}ms;",
+                 "{}{}:{} asked={}/{} estimate={:.0f}ms slowdown={:.2f} used={:.2f} report_age={:.0f}ms;",
                  m_trace.empty() ? "" : " ", basis.hedge ? "hedge" : "attempt", endpoint, basis.answered, basis.asked,
-                 ToMillis(basis.estimate), basis.slowdown, ToMillis(basis.report_age));
+                 ToMillis(basis.estimate), basis.slowdown, basis.utilization, ToMillis(basis.report_age));
 }
 
 void CallLog::AddAttemptEnd(std::string_view endpoint, AttemptResult result, unsigned status, Duration elapsed) {
