Plans cross between peers compressed

Change: peers serve the plans compressed by zlib, at a page of its own; an instance that got them so passes the same bytes on. The plain page stays for instances of earlier versions. Expanded size is bounded, a damaged or cut stream is an error.

--- a/libs/entry/src/fleet_link.cc
+++ b/libs/entry/src/fleet_link.cc
@@ -5,6 +5,7 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <fmt/format.h>
 
 #include "base/backoff.h"
 #include "base/error.h"
@@ -14,6 +15,7 @@
 #include "engine.h"
 #include "http_types.h"
 #include "lists/lists.h"
+#include "net/deflate.h"
 #include "net/http_client.h"
 #include "store/fleet_store.h"
 
@@ -26,9 +28,14 @@
 constexpr milliseconds kWatchTimeout{2'200};
 /** Timeout of a request for plans to a peer. */
 constexpr milliseconds kPeerRequestTimeout{500};
+/** Most bytes of plans from a peer. */
+constexpr size_t kMaxPlansBytes = 8u << 20u;
 constexpr std::string_view kPlansPage = "/sassafras/peer/plans";
+/** The same, compressed: a fleet that fetches large plans from a few peers would otherwise fill their links. */
+constexpr std::string_view kCompressedPlansPage = "/sassafras/peer/plans.deflate";
 constexpr std::string_view kEndpointsPage = "/sassafras/peer/endpoints";
 constexpr int kOk = 200;
+constexpr int kNotFound = 404;
 
 }  // namespace
 
@@ -57,7 +64,7 @@
   co_await timer.async_wait(AwaitWithError(ignored));
 }
 
-void FleetLink::PutPlansInForce(const PlansSnapshot& snapshot, std::string_view source) {
+void FleetLink::PutPlansInForce(const PlansSnapshot& snapshot, std::string compressed, std::string_view source) {
   Log(LogLevel::kInfo, "plans_in_force",
       {{"generation", std::to_string(snapshot.generation)},
        {"replaces", std::to_string(m_engine.GetState().Generation())},
@@ -65,13 +72,15 @@
        {"as_of", std::to_string(snapshot.as_of)},
        {"plans", std::to_string(snapshot.lists->plans.size())}});
   m_plans_document = snapshot.document;
+  m_compressed_plans = std::move(compressed);
   m_engine.Post(Event::ListsReceived{m_engine.Now(), snapshot.generation, snapshot.lists});
 }
 
 void FleetLink::ProcessPlans(const PlansSnapshot& snapshot, ReadConsistency consistency) {
   m_plans_as_of = std::max(m_plans_as_of, snapshot.as_of);
   if (snapshot.generation > m_engine.GetState().Generation())
-    PutPlansInForce(snapshot, consistency == ReadConsistency::kLinearizable ? "store" : "store, may lag");
+    PutPlansInForce(snapshot, Deflate(snapshot.document),
+                    consistency == ReadConsistency::kLinearizable ? "store" : "store, may lag");
   if (consistency == ReadConsistency::kLinearizable)
     m_engine.Post(Event::StoreConfirmed{m_engine.Now(), m_engine.GetState().Generation()});
 }
@@ -141,21 +150,36 @@
   m_fetching_plans = false;
 }
 
+asio::awaitable<absl::StatusOr<std::string>> FleetLink::FetchCompressedPlans(std::string peer_address) {
+  auto reply = co_await SendHttp(peer_address, "GET", std::string(kCompressedPlansPage), "", kPeerRequestTimeout);
+  if (reply.ok() && reply->status == kOk)
+    co_return std::move(reply->body);
+  // An instance of an earlier version has only the plain page.
+  if (reply.ok() && reply->status == kNotFound) {
+    const auto plain = co_await SendHttp(peer_address, "GET", std::string(kPlansPage), "", kPeerRequestTimeout);
+    if (plain.ok() && plain->status == kOk)
+      co_return Deflate(plain->body);
+  }
+  co_return MakeError(ErrorKind::kUnreachable, fmt::format("{}: no plans there", peer_address), "ask another peer");
+}
+
 asio::awaitable<bool> FleetLink::FetchPlansFromPeer(std::string peer_address) {
-  const auto reply = co_await SendHttp(peer_address, "GET", std::string(kPlansPage), "", kPeerRequestTimeout);
-  if (!reply.ok() || reply->status != kOk) {
+  auto compressed = co_await FetchCompressedPlans(peer_address);
+  if (!compressed.ok()) {
     // Also logged if the peer cannot be reached.
     Log(LogLevel::kInfo, "peer_has_no_plans", {{"peer", peer_address}});
     co_return false;
   }
-  const auto snapshot = m_store->DecodePlans(reply->body);
+  const auto document = Inflate(*compressed, kMaxPlansBytes);
+  const absl::StatusOr<PlansSnapshot> snapshot =
+      document.ok() ? m_store->DecodePlans(*document) : absl::StatusOr<PlansSnapshot>(document.status());
   if (!snapshot.ok()) {
     Log(LogLevel::kError, "plans_unusable", {{"peer", peer_address}, {"error", MessageOf(snapshot.status())}});
     co_return false;
   }
   if (snapshot->generation <= m_engine.GetState().Generation())
     co_return false;
-  PutPlansInForce(*snapshot, peer_address);
+  PutPlansInForce(*snapshot, *std::move(compressed), peer_address);
   co_return true;
 }
 
@@ -185,11 +209,13 @@
   constexpr int kServiceUnavailable = 503;
   if (target == kPlansPage && !m_plans_document.empty())
     return Page{kOk, "application/json", m_plans_document};
+  if (target == kCompressedPlansPage && !m_compressed_plans.empty())
+    return Page{kOk, "application/octet-stream", m_compressed_plans};
   if (target == kEndpointsPage && state.EndpointsAsOf() > 0) {
     const auto age = state.EndpointsAge(m_engine.Now());
     return Page{kOk, "application/json", EncodeEndpoints(state.KnownEndpoints(), state.EndpointsAsOf(), age)};
   }
-  if (target == kPlansPage || target == kEndpointsPage)
+  if (target == kPlansPage || target == kCompressedPlansPage || target == kEndpointsPage)
     return Page{kServiceUnavailable, "text/plain", "nothing is known here yet; ask another instance\n"};
   return std::nullopt;
 }
--- a/libs/entry/src/fleet_link.h
+++ b/libs/entry/src/fleet_link.h
@@ -49,6 +49,8 @@
   boost::asio::awaitable<void> RunReadPlans(ReadConsistency consistency);
   boost::asio::awaitable<void> RunFetchPlans(Effect::FetchLists effect);
   /** Fetches the plans from a peer; false if it has none newer than the current generation. */
+  /** Returns the compressed plans of the peer. */
+  boost::asio::awaitable<absl::StatusOr<std::string>> FetchCompressedPlans(std::string peer_address);
   boost::asio::awaitable<bool> FetchPlansFromPeer(std::string peer_address);
   /** Fetches the endpoints from a peer; false if it does not answer or its answer is unusable. */
   boost::asio::awaitable<bool> FetchEndpointsFromPeer(std::string peer_address, std::chrono::milliseconds limit);
@@ -58,7 +60,7 @@
   boost::asio::awaitable<void> RunWriteRoster(std::vector<Member> members);
   void ProcessRoster(absl::StatusOr<RosterSnapshot> roster, std::string_view log_event);
   boost::asio::awaitable<void> Sleep(Duration pause);
-  void PutPlansInForce(const PlansSnapshot& snapshot, std::string_view source);
+  void PutPlansInForce(const PlansSnapshot& snapshot, std::string compressed, std::string_view source);
   void ProcessPlans(const PlansSnapshot& snapshot, ReadConsistency consistency);
   /** Counts a store request, and tells the reducer whether the store answered it. */
   void RecordResult(const absl::Status& status);
@@ -68,6 +70,8 @@
   std::shared_ptr<FleetStore> m_store;
   /** The plans in force, in the encoding of the store. */
   std::string m_plans_document;
+  /** The same, compressed for peers. */
+  std::string m_compressed_plans;
   /** Store revision as of which the plans were last read. */
   uint64_t m_plans_as_of = 0;
   /** Store revision of the roster last read or written by this instance. */
--- a/libs/entry/tests/fleet_link_test.cc
+++ b/libs/entry/tests/fleet_link_test.cc
@@ -17,6 +17,7 @@
 #include "http_types.h"
 #include "lists/lists.h"
 #include "manual_clock.h"
+#include "net/deflate.h"
 #include "null_control_sink.h"
 #include "store/fleet_store.h"
 
@@ -99,7 +100,7 @@
 
 TEST_CASE("an instance that the store refuses fetches the plans from the peer that announced them") {
   Fixture fixture;
-  Peer peer(fixture.context, "document");
+  Peer peer(fixture.context, Deflate("document"));
   REQUIRE_CALL(*fixture.store, DecodePlans("document")).RETURN(MakePlans(7));
   fixture.link.OnEffect(Effect::FetchLists{peer.Address(), 7});
   fixture.context.run();
@@ -109,13 +110,40 @@
 TEST_CASE("plans from a peer that are older than those in force are ignored") {
   Fixture fixture;
   fixture.engine.Post(Event::ListsReceived{fixture.clock.Now(), 9, std::make_shared<const Lists>()});
-  Peer peer(fixture.context, "document");
+  Peer peer(fixture.context, Deflate("document"));
   REQUIRE_CALL(*fixture.store, DecodePlans("document")).RETURN(MakePlans(7));
   fixture.link.OnEffect(Effect::FetchLists{peer.Address(), 0});
   fixture.context.run();
   CHECK(fixture.engine.GetState().Generation() == 9);
 }
 
+TEST_CASE("plans from a peer that were cut off are not used; the store is read") {
+  Fixture fixture;
+  const std::string stream = Deflate("document");
+  Peer peer(fixture.context, stream.substr(0, stream.size() - 2));
+  FORBID_CALL(*fixture.store, DecodePlans(_));
+  REQUIRE_CALL(*fixture.store, ReadPlans(ReadConsistency::kLinearizable)).RETURN([]() -> Reply<PlansSnapshot> {
+    co_return MakePlans(8);
+  }());
+  fixture.link.OnEffect(Effect::FetchLists{peer.Address(), 8});
+  fixture.context.run();
+  CHECK(fixture.engine.GetState().Generation() == 8);
+}
+
+TEST_CASE("plans are served to peers compressed, and plain to those of an earlier version") {
+  Fixture fixture;
+  Peer peer(fixture.context, Deflate("document"));
+  REQUIRE_CALL(*fixture.store, DecodePlans("document")).RETURN(MakePlans(7));
+  fixture.link.OnEffect(Effect::FetchLists{peer.Address(), 7});
+  fixture.context.run();
+  const auto compressed = fixture.link.Render("/sassafras/peer/plans.deflate", fixture.engine.GetState());
+  const auto plain = fixture.link.Render("/sassafras/peer/plans", fixture.engine.GetState());
+  REQUIRE(compressed.has_value());
+  REQUIRE(plain.has_value());
+  CHECK(compressed->body == Deflate("document"));
+  CHECK(plain->body == "document");
+}
+
 TEST_CASE("the store is read if the peer is unreachable") {
   Fixture fixture;
   REQUIRE_CALL(*fixture.store, ReadPlans(ReadConsistency::kLinearizable)).RETURN([]() -> Reply<PlansSnapshot> {
