Bound what endpoints in trouble may send to a probe; refuse two kinds of bad input

An endpoint that sends bytes without end in answer to a load probe was read up to the parser's default of 8 MiB, for each of the many probes that run at a time. Now 16 KiB; the call treats it as not answering. An address such as 127.0.0.1: passed the check of the lists; now refused.

--- a/libs/entry/src/prober.cc
+++ b/libs/entry/src/prober.cc
@@ -19,6 +19,9 @@
 namespace {
 
 constexpr std::chrono::milliseconds kProbeTimeout{500};
+/** Most bytes of a probe's answer. Endpoints in trouble may send without end, and many probes run at a time. */
+constexpr uint32_t kMaxProbeHeadBytes = 8u << 10u;
+constexpr uint64_t kMaxProbeBodyBytes = 16u << 10u;
 /** Pooled connections that were idle for longer are not used. */
 constexpr std::chrono::seconds kMaxConnectionIdle{8};
 
@@ -75,10 +78,13 @@
   co_await http::async_write(connection->stream, request, AwaitWithError(error));
   if (error)
     co_return error;
-  http::response<http::string_body> response;
-  co_await http::async_read(connection->stream, connection->buffer, response, AwaitWithError(error));
+  http::response_parser<http::string_body> parser;
+  parser.header_limit(kMaxProbeHeadBytes);
+  parser.body_limit(kMaxProbeBodyBytes);
+  co_await http::async_read(connection->stream, connection->buffer, parser, AwaitWithError(error));
   if (error)
     co_return error;
+  const http::response<http::string_body>& response = parser.get();
   if (m_dialect.IsMismatchedProbeResponse(response, name))
     co_return http::error::bad_value;
   ended.load = m_dialect.ReadLoad(response);
--- a/libs/lists/src/lists_parser.cc
+++ b/libs/lists/src/lists_parser.cc
@@ -1,5 +1,4 @@
 #include <algorithm>
-#include <cstdlib>
 #include <map>
 #include <set>
 #include <string>
@@ -9,6 +8,7 @@
 #include <fmt/format.h>
 
 #include "base/error.h"
+#include "base/parse_number.h"
 #include "base/toml_reader.h"
 #include "lists/lists.h"
 
@@ -148,11 +148,12 @@
   const size_t colon = endpoint.address.rfind(':');
   boost::system::error_code error;
   int port = 0;
+  bool is_number = false;
   if (colon != std::string::npos) {
     boost::asio::ip::make_address(endpoint.address.substr(0, colon), error);
-    port = std::atoi(endpoint.address.c_str() + colon + 1);
+    is_number = ParseNumber(std::string_view(endpoint.address).substr(colon + 1), port);
   }
-  if (colon == std::string::npos || error || port < 1 || port > 65'535)
+  if (!is_number || error || port < 1 || port > 65'535)
     return RowError(kUpstreamsFile, row, fmt::format("address '{}' is not IP:port", endpoint.address),
                     "write it like \"10.0.0.7:8080\"");
   return absl::OkStatus();
--- a/libs/lists/tests/lists_test.cc
+++ b/libs/lists/tests/lists_test.cc
@@ -75,6 +75,8 @@
        "reserved for the entry instances"},
       {Replace(kPlans, "\"200ms\"", "\"3s\""), std::string(kUpstreams), "objective_latency is above deadline"},
       {std::string(kPlans), Replace(kUpstreams, "127.0.0.1:9001", "host:9001"), "is not IP:port"},
+      {std::string(kPlans), Replace(kUpstreams, "127.0.0.1:9001", "127.0.0.1:9001abc"), "is not IP:port"},
+      {std::string(kPlans), Replace(kUpstreams, "127.0.0.1:9001", "127.0.0.1:"), "is not IP:port"},
       {std::string(kPlans), Replace(kUpstreams, "slots = 6", "slots = 0"), "from 1 to 10000"},
       {std::string(kPlans), Replace(kUpstreams, "slots = 6", "slot = 6"), "'slots' is missing"},
       {std::string(kPlans), Replace(kUpstreams, "plan = \"orders\"", "plan = \"other\""), "no such plan"},
--- a/libs/net/src/deflate.cc
+++ b/libs/net/src/deflate.cc
@@ -11,7 +11,7 @@
 namespace {
 
 /** Bytes added to the output buffer at a time. */
-constexpr size_t kOutputStep = 64 * 1024;
+constexpr size_t kOutputStep = 64u << 10u;
 
 /** zlib wants pointers to bytes that it may change, but does not change its input. */
 Bytef* BytesOf(std::string_view text) {
