--- a/libs/entry/tests/prober_test.cc
+++ b/libs/entry/tests/prober_test.cc
@@ -69,7 +69,8 @@
     Engine engine(StateOptions(), clock);
     engine.SetControlSink(control);
     EndlessEndpoint endpoint(context, head);
-    engine.Post(Event::ListsReceived{clock.Now(), 1, std::make_shared<const Lists>(ListsWithEndpoint(endpoint.Address()))});
+    engine.Post(
+        Event::ListsReceived{clock.Now(), 1, std::make_shared<const Lists>(ListsWithEndpoint(endpoint.Address()))});
     UpstreamPool pool(context.get_executor(), clock);
     const NativeDialect dialect;
     Prober prober(context.get_executor(), engine, pool, dialect);
