Log requests that are rejected before they become a call

One line request_rejected now gives id, reason, status, the generation in force and the time since it was last confirmed with the store.

--- a/libs/core/include/core/state.h
+++ b/libs/core/include/core/state.h
@@ -37,6 +37,8 @@
   Phase CurrentPhase() const;
   /** Generation of the lists in use; 0 before the first lists. */
   uint64_t Generation() const;
+  /** Time since any instance last confirmed with the store that there is no higher generation. */
+  std::chrono::milliseconds ListsAge(TimePoint now) const;
   /** When the next Event::Tick is due. */
   TimePoint NextTick(TimePoint now) const;
   /** Revision of the platform's store up to which the endpoints are known; 0 before the first read. */
--- a/libs/entry/src/call_log.cc
+++ b/libs/entry/src/call_log.cc
@@ -8,6 +8,7 @@
 #include "base/log.h"
 #include "core/state.h"
 #include "lists/plan.h"
+#include "rejection.h"
 
 namespace sassafras {
 namespace {
@@ -25,6 +26,25 @@
 
 }  // namespace
 
+void LogRejectedRequest(std::string_view request_id,
+                        const State& state,
+                        const Rejection& rejection,
+                        unsigned status,
+                        TimePoint now) {
+  if (!ShouldLog(LogClass::kRequestProblem))
+    return;
+  const ReasonInfo& info = InfoOf(rejection.reason);
+  Log(LogLevel::kWarning, "request_rejected",
+      {{"id", std::string(request_id)},
+       {"outcome", std::string(OutcomeName(info.outcome))},
+       {"detail", std::string(info.name)},
+       {"status", std::to_string(status)},
+       {"remedy", rejection.remedy},
+       {"generation", std::to_string(state.Generation())},
+       {"lists_age_ms", std::to_string(state.ListsAge(now).count())}},
+      LogClass::kRequestProblem);
+}
+
 void CallLog::AddAttempt(std::string_view endpoint, const DispatchBasis& basis) {
   ++m_attempt_count;
   fmt::format_to(std::back_inserter(m_trace),
--- a/libs/entry/src/call_log.h
+++ b/libs/entry/src/call_log.h
@@ -15,6 +15,18 @@
 
 class State;
 
+struct Rejection;
+
+/**
+ * Writes the log line of a request that was rejected before it became a call, with the age of the lists on which the
+ * decision rests.
+ */
+void LogRejectedRequest(std::string_view request_id,
+                        const State& state,
+                        const Rejection& rejection,
+                        unsigned status,
+                        TimePoint now);
+
 /** Collects the attempts of one call and writes the call's log line. */
 class CallLog {
  public:
--- a/libs/entry/src/caller_session.cc
+++ b/libs/entry/src/caller_session.cc
@@ -9,6 +9,7 @@
 
 #include "admin_pages.h"
 #include "base/error.h"
+#include "call_log.h"
 #include "core/state.h"
 #include "engine.h"
 #include "entry/http_dialect.h"
@@ -139,7 +140,7 @@
   if (error == http::error::end_of_stream)
     co_return false;
   if (error) {
-    co_await WriteRejection(*parser, HeadRejection(error), false);
+    co_await RejectRequest(*parser, HeadRejection(error), false);
     co_return false;
   }
   const auto& head = parser->get();
@@ -199,7 +200,7 @@
   exchange->SetKeepAlive(keep_alive);
   if (!co_await BufferRequestBody(*exchange)) {
     const Rejection rejection{.remedy = "the request body did not arrive whole in time; send it again"};
-    co_await WriteRejection(exchange->Request(), rejection, false);
+    co_await RejectRequest(exchange->Request(), rejection, false);
     co_return false;
   }
   const bool connection_reusable = keep_alive && exchange->BodyComplete();
@@ -207,20 +208,20 @@
   const auto time_left = m_dialect.ReadTimeLeft(fields);
   if (!time_left.ok()) {
     const Rejection rejection{.remedy = MessageOf(time_left.status())};
-    co_return co_await WriteRejection(exchange->Request(), rejection, connection_reusable);
+    co_return co_await RejectRequest(exchange->Request(), rejection, connection_reusable);
   }
   const auto idempotency = ReadIdempotency(fields, method, PathOf(target));
   if (!idempotency.ok()) {
     const bool missing = fields.find(kOwnerHeader) == fields.end();
     const Rejection rejection{.reason = missing ? Reason::kOwnerMissing : Reason::kBadOwner,
                               .remedy = MessageOf(idempotency.status())};
-    co_return co_await WriteRejection(exchange->Request(), rejection, connection_reusable);
+    co_return co_await RejectRequest(exchange->Request(), rejection, connection_reusable);
   }
   const PlanHandle plan = m_engine.GetState().FindPlan(HostOf(fields), method, PathOf(target));
   if (!plan.IsValid()) {
     const bool ready = m_engine.GetState().CurrentPhase() != Phase::kStarting;
     const Rejection rejection{.reason = ready ? Reason::kNoPlan : Reason::kNotReady};
-    co_return co_await WriteRejection(exchange->Request(), rejection, connection_reusable);
+    co_return co_await RejectRequest(exchange->Request(), rejection, connection_reusable);
   }
   exchange->Submit(plan, *time_left, RequestFingerprint(method, target, exchange->Body()), *idempotency);
   if (exchange->BodyComplete())
@@ -291,10 +292,22 @@
   co_return !error && keep_alive;
 }
 
+uint16_t CallerSession::StatusOf(const Rejection& rejection) const {
+  return rejection.status > 0 ? rejection.status : m_dialect.HttpStatusFor(rejection.reason);
+}
+
+asio::awaitable<bool> CallerSession::RejectRequest(const CallExchange::Parser& request,
+                                                   Rejection rejection,
+                                                   bool keep_alive) {
+  LogRejectedRequest(m_dialect.RequestId(request.get()), m_engine.GetState(), rejection, StatusOf(rejection),
+                     m_engine.Now());
+  co_return co_await WriteRejection(request, std::move(rejection), keep_alive);
+}
+
 asio::awaitable<bool> CallerSession::WriteRejection(const CallExchange::Parser& request,
                                                     Rejection rejection,
                                                     bool keep_alive) {
-  const uint16_t status = rejection.status > 0 ? rejection.status : m_dialect.HttpStatusFor(rejection.reason);
+  const uint16_t status = StatusOf(rejection);
   http::response<http::string_body> response(static_cast<http::status>(status), 11);
   response.set(http::field::content_type, "application/json");
   response.set("Sassafras-Outcome", OutcomeName(InfoOf(rejection.reason).outcome));
--- a/libs/entry/src/caller_session.h
+++ b/libs/entry/src/caller_session.h
@@ -44,6 +44,10 @@
   asio::awaitable<bool> FinishCall(CallExchange& exchange, CallExchange::Completion completion);
   asio::awaitable<bool> BufferRequestBody(CallExchange& exchange);
   asio::awaitable<bool> WriteTextResponse(int status, std::string content_type, std::string body, bool keep_alive);
+  /** HTTP status code of the response for `rejection`. */
+  uint16_t StatusOf(const Rejection& rejection) const;
+  /** Logs and rejects a request that has not become a call. */
+  asio::awaitable<bool> RejectRequest(const CallExchange::Parser& request, Rejection rejection, bool keep_alive);
   asio::awaitable<bool> WriteRejection(const CallExchange::Parser& request, Rejection rejection, bool keep_alive);
   asio::awaitable<bool> WriteRecorded(const RecordedAnswer& recorded, bool head_request, bool keep_alive);
   void WatchForDisconnect(const std::shared_ptr<CallExchange>& exchange);
