A request that no plan covers gets 404 only from lists known to be current

Cause: 404 says for sure that no plan covers the request, but the lists behind it had no bound on their age. An instance said so from lists that it knew to be behind (a peer had announced a newer generation), that nobody had confirmed for long (cut off from the store and its peers), that a lagging read had given it at its start, or that it held through a freeze.

Change: ListsTracker::AreCurrent() - confirmed with the store within six seconds, nothing newer announced, no confirmation due after a freeze. If not, the answer is lists_not_current, 503 with a short Retry-After, which is true: the request has not run. The reducer decides it; the session submits such requests like all others, so each has its log line, now with the generation that peers announced.

--- a/libs/core/include/core/event.h
+++ b/libs/core/include/core/event.h
@@ -101,6 +101,7 @@
     TimePoint now;
     /** Id that the I/O layer chose for the call; returned in effects. */
     uint64_t ticket = 0;
+    /** Plan that matches the request; invalid if none does. */
     PlanHandle plan;
     /** Time until the caller's deadline; the plan's deadline applies too. */
     Duration time_left = Duration::max();
--- a/libs/core/include/core/outcome.h
+++ b/libs/core/include/core/outcome.h
@@ -19,6 +19,8 @@
   /** No active plan matches the request. */
   kNoPlan,
   kNotReady,
+  /** No plan of the lists in use matches the request, but there may be newer lists. */
+  kListsNotCurrent,
   kOverloaded,
   kDeadlineBeforeStart,
   kNoEndpoint,
--- a/libs/core/include/core/state.h
+++ b/libs/core/include/core/state.h
@@ -37,6 +37,8 @@
   Phase CurrentPhase() const;
   /** Generation of the lists in use; 0 before the first lists. */
   uint64_t Generation() const;
+  /** Highest generation that a peer has announced; 0 if none was above this instance's at the time. */
+  uint64_t AnnouncedGeneration() const;
   /** Time since any instance last confirmed with the store that there is no higher generation. */
   std::chrono::milliseconds ListsAge(TimePoint now) const;
   /** When the next Event::Tick is due. */
--- a/libs/core/src/calls.cc
+++ b/libs/core/src/calls.cc
@@ -168,7 +168,7 @@
     return;
   }
   if (!event.plan.IsValid() || !parts.At(event.plan).active) {
-    Reject(parts, event, Reason::kNoPlan, effects);
+    Reject(parts, event, parts.lists.AreCurrent(event.now) ? Reason::kNoPlan : Reason::kListsNotCurrent, effects);
     return;
   }
   PlanState& plan = parts.At(event.plan);
--- a/libs/core/src/control.cc
+++ b/libs/core/src/control.cc
@@ -34,8 +34,6 @@
 constexpr uint64_t kSeatRankSeed = 0x73656174;
 /** Period of the reads that a watcher makes in addition to its watch. */
 constexpr seconds kWatcherPollPeriod{1};
-/** Other instances poll the store themselves once the last confirmation of the lists is older than this. */
-constexpr seconds kMaxListsConfirmationAge{6};
 /** Polls per second of the whole fleet while no instance has a recent confirmation from the store. */
 constexpr double kFleetPollsPerSecond = 8.0;
 /** Like kFleetPollsPerSecond, but with discovery, where each read of the store is billed. */
@@ -77,7 +75,7 @@
     PollNow(parts, starting && parts.options.discovery, now, effects);
     return;
   }
-  if (now - lists.store_confirmed_at < kMaxListsConfirmationAge || !KnowsFleet(parts, now))
+  if (now - lists.store_confirmed_at < ListsTracker::kMaxConfirmationAge || !KnowsFleet(parts, now))
     return;
   const auto fleet = static_cast<double>(std::max<size_t>(1, parts.members.CountServing(now)));
   const double rate = parts.options.discovery ? kFleetDiscoveryPollsPerSecond : kFleetPollsPerSecond;
--- a/libs/core/src/gossip.cc
+++ b/libs/core/src/gossip.cc
@@ -294,6 +294,10 @@
   QueryIfLeavingDiffers(parts, message, event.now, effects);
   NotifyIfOutdated(parts, message, event.now, effects);
   ListsTracker& lists = parts.lists;
+  if (message.generation > lists.generation && message.generation >= lists.announced_generation) {
+    lists.announced_generation = message.generation;
+    lists.announced_at = event.now;
+  }
   const bool confirms = message.reply_to != 0 && message.reply_to == lists.revalidation_query;
   const bool same_endpoints = !parts.options.discovery || message.endpoints_digest == parts.feed.Digest();
   if (confirms && same_endpoints && message.generation <= lists.generation)
--- a/libs/core/src/lists_tracker.h
+++ b/libs/core/src/lists_tracker.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chrono>
 #include <cstdint>
 
 #include "base/clock.h"
@@ -8,7 +9,19 @@
 
 /** State of the lists in use and of their confirmation. */
 struct ListsTracker {
+  /** Age of the last confirmation beyond which the lists may be outdated. */
+  static constexpr std::chrono::seconds kMaxConfirmationAge{6};
+
+  /**
+   * Whether the lists may be taken for the latest ones: confirmed lately, and no peer announces a newer generation.
+   * What they lack is not known to be wrong otherwise.
+   */
+  bool AreCurrent(TimePoint now) const;
+
   uint64_t generation = 0;
+  /** Highest generation that a peer has announced, and when a peer last announced it. */
+  uint64_t announced_generation = 0;
+  TimePoint announced_at{};
   /** When this instance or a peer last confirmed that the store holds no higher generation. */
   TimePoint store_confirmed_at{};
   TimePoint last_poll{};
--- a/libs/core/src/outcome.cc
+++ b/libs/core/src/outcome.cc
@@ -8,6 +8,8 @@
 constexpr std::array<ReasonInfo, kReasonCount> kReasons = {{
     {"no_plan", Outcome::kNotRun, 404, "no plan covers this method and path; ask the operators to add one"},
     {"not_ready", Outcome::kNotRun, 503, "the instance has no lists yet; use another address"},
+    {"lists_not_current", Outcome::kNotRun, 503,
+     "no plan here covers the request, but the lists may be outdated; send again after Retry-After"},
     {"overloaded", Outcome::kNotRun, 503, "all endpoints are busy; send again after Retry-After"},
     {"deadline_before_start", Outcome::kNotRun, 504, "no endpoint was free in time; send again with a later deadline"},
     {"no_endpoint", Outcome::kNotRun, 503, "no endpoint of the service takes work; send again later"},
--- a/libs/core/src/state.cc
+++ b/libs/core/src/state.cc
@@ -58,6 +58,10 @@
   return m_parts->lists.generation;
 }
 
+uint64_t State::AnnouncedGeneration() const {
+  return m_parts->lists.announced_generation;
+}
+
 std::chrono::milliseconds State::ListsAge(TimePoint now) const {
   return std::chrono::duration_cast<std::chrono::milliseconds>(now - m_parts->lists.store_confirmed_at);
 }
--- a/libs/entry/src/call_exchange.cc
+++ b/libs/entry/src/call_exchange.cc
@@ -38,7 +38,7 @@
 
 void CallExchange::Submit(PlanHandle plan, Duration time_left, uint64_t fingerprint, const Idempotency& idempotency) {
   m_plan = plan;
-  m_repeat_safe = m_engine.GetState().PlanConfig(plan).repeat == Repeat::kSafe;
+  m_repeat_safe = plan.IsValid() && m_engine.GetState().PlanConfig(plan).repeat == Repeat::kSafe;
   m_ticket = m_engine.Register(*this);
   Event::CallArrived event;
   m_submitted_at = m_engine.Now();
--- a/libs/entry/src/call_exchange.h
+++ b/libs/entry/src/call_exchange.h
@@ -57,7 +57,11 @@
   bool KeepAlive() const { return m_keep_alive; }
   void SetKeepAlive(bool keep_alive) { m_keep_alive = keep_alive; }
 
-  /** Submits the call to the reducer. `time_left` is the time that the caller will wait. */
+  /**
+   * Submits the call to the reducer.
+   * @param plan       plan that matches the request; invalid if none does
+   * @param time_left  time that the caller will wait
+   */
   void Submit(PlanHandle plan, Duration time_left, uint64_t fingerprint, const Idempotency& idempotency);
   /** Waits until the call has ended. */
   asio::awaitable<Completion> WaitForCompletion();
--- a/libs/entry/src/call_log.cc
+++ b/libs/entry/src/call_log.cc
@@ -98,14 +98,14 @@
   const LogClass log_class = routine ? LogClass::kRequestSuccess : LogClass::kRequestProblem;
   if (!ShouldLog(log_class))
     return;
-  const Plan& row = state.PlanConfig(plan);
   Log(routine ? LogLevel::kInfo : LogLevel::kWarning, "call",
       {{"id", std::string(request_id)},
-       {"plan", row.name},
+       {"plan", plan.IsValid() ? state.PlanConfig(plan).name : std::string()},
        {"outcome", std::string(outcome)},
        {"detail", std::string(detail)},
        {"took_ms", fmt::format("{:.1f}", ToMillis(elapsed))},
        {"generation", std::to_string(state.Generation())},
+       {"announced_generation", std::to_string(state.AnnouncedGeneration())},
        {"endpoints_as_of", std::to_string(state.EndpointsAsOf())},
        {"attempts", std::to_string(m_attempt_count)},
        {"trace", m_trace}},
--- a/libs/entry/src/caller_session.cc
+++ b/libs/entry/src/caller_session.cc
@@ -218,11 +218,6 @@
     co_return co_await RejectRequest(exchange->Request(), rejection, connection_reusable);
   }
   const PlanHandle plan = m_engine.GetState().FindPlan(HostOf(fields), method, PathOf(target));
-  if (!plan.IsValid()) {
-    const bool ready = m_engine.GetState().CurrentPhase() != Phase::kStarting;
-    const Rejection rejection{.reason = ready ? Reason::kNoPlan : Reason::kNotReady};
-    co_return co_await RejectRequest(exchange->Request(), rejection, connection_reusable);
-  }
   exchange->Submit(plan, *time_left, RequestFingerprint(method, target, exchange->Body()), *idempotency);
   if (exchange->BodyComplete())
     WatchForDisconnect(exchange);
