A chunked body above the limit gets 413, with its reason in the log

What callers saw: 400, "the request body did not arrive whole in time", whatever ended the body.

Evidence: caller_session_test "a request with a chunked body above the limit gets 413" failed on the code before.

Change: errors of the body map to a status as those of the head do.

--- a/libs/entry/src/caller_session.cc
+++ b/libs/entry/src/caller_session.cc
@@ -35,10 +35,10 @@
   return {text.data(), text.size()};
 }
 
-/** Maps an error from reading a request head to the error response for it. */
-Rejection HeadRejection(const error_code& error) {
+/** Maps an error from reading the `part` "head" or "body" of a request to the error response for it. */
+Rejection ReadRejection(std::string_view part, const error_code& error) {
   Rejection rejection;
-  rejection.remedy = fmt::format("request head: {}", error.message());
+  rejection.remedy = fmt::format("request {}: {}", part, error.message());
   if (error == http::error::header_limit)
     rejection.status = kRequestHeaderFieldsTooLarge;
   else if (error == http::error::body_limit)
@@ -140,7 +140,7 @@
   if (error == http::error::end_of_stream)
     co_return false;
   if (error) {
-    co_await RejectRequest(*parser, HeadRejection(error), false);
+    co_await RejectRequest(*parser, ReadRejection("head", error), false);
     co_return false;
   }
   const auto& head = parser->get();
@@ -166,7 +166,7 @@
   co_return co_await WriteTextResponse(page.status, page.content_type, page.body, keep_alive);
 }
 
-asio::awaitable<bool> CallerSession::BufferRequestBody(CallExchange& exchange) {
+asio::awaitable<error_code> CallerSession::BufferRequestBody(CallExchange& exchange) {
   Parser& parser = exchange.Request();
   std::string& body = exchange.Body();
   error_code error;
@@ -186,7 +186,7 @@
       error = {};
     body.resize(old_size + kReadBytes - parser.get().body().size);
   }
-  co_return !error;
+  co_return error;
 }
 
 asio::awaitable<bool> CallerSession::ServeCall(std::unique_ptr<Parser> parser) {
@@ -198,9 +198,8 @@
   auto exchange =
       std::make_shared<CallExchange>(m_engine, m_pool, m_dialect, m_connect_timeout, m_caller, std::move(parser));
   exchange->SetKeepAlive(keep_alive);
-  if (!co_await BufferRequestBody(*exchange)) {
-    const Rejection rejection{.remedy = "the request body did not arrive whole in time; send it again"};
-    co_await RejectRequest(exchange->Request(), rejection, false);
+  if (const error_code error = co_await BufferRequestBody(*exchange)) {
+    co_await RejectRequest(exchange->Request(), ReadRejection("body", error), false);
     co_return false;
   }
   const bool connection_reusable = keep_alive && exchange->BodyComplete();
--- a/libs/entry/src/caller_session.h
+++ b/libs/entry/src/caller_session.h
@@ -42,7 +42,8 @@
   asio::awaitable<bool> ServeCall(std::unique_ptr<Parser> parser);
   asio::awaitable<bool> ServePage(Parser& parser);
   asio::awaitable<bool> FinishCall(CallExchange& exchange, CallExchange::Completion completion);
-  asio::awaitable<bool> BufferRequestBody(CallExchange& exchange);
+  /** Reads the body up to the size that is buffered; returns the error that ended it early, if any. */
+  asio::awaitable<error_code> BufferRequestBody(CallExchange& exchange);
   asio::awaitable<bool> WriteTextResponse(int status, std::string content_type, std::string body, bool keep_alive);
   /** HTTP status code of the response for `rejection`. */
   uint16_t StatusOf(const Rejection& rejection) const;
--- a/libs/entry/tests/caller_session_test.cc
+++ b/libs/entry/tests/caller_session_test.cc
@@ -15,6 +15,7 @@
 #include "core/state_options.h"
 #include "engine.h"
 #include "entry/native_dialect.h"
+#include "lists/lists.h"
 #include "manual_clock.h"
 #include "settings/settings.h"
 #include "upstream_pool.h"
@@ -64,6 +65,29 @@
   CHECK(fixture.Received().starts_with("HTTP/1.1 503"));
 }
 
+/** Lists with a small limit on bodies. */
+std::shared_ptr<const Lists> MakeSmallLimits() {
+  auto lists = std::make_shared<Lists>();
+  lists->limits.body_bytes = 100;
+  return lists;
+}
+
+/** Runs the session to its end and returns what the caller has received. */
+std::string ReceiveResponse(Fixture& fixture) {
+  fixture.context.restart();
+  fixture.context.run();
+  return fixture.Received();
+}
+
+// Guards against 400, which does not say what is wrong, for a body above the limit.
+TEST_CASE("a request with a chunked body above the limit gets 413, not 400") {
+  Fixture fixture;
+  fixture.engine.Post(Event::ListsReceived{fixture.clock.Now(), 1, MakeSmallLimits()});
+  asio::write(fixture.caller, asio::buffer("POST /x HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\nc8\r\n" +
+                                           std::string(200, 'x') + "\r\n0\r\n\r\n"));
+  CHECK(ReceiveResponse(fixture).starts_with("HTTP/1.1 413"));
+}
+
 TEST_CASE("an idle connection is closed without a response") {
   Fixture fixture;
   fixture.session->Close();
