The store's revisions are ordered across restores, by Store-Era

Cause: every position in the store's history was a bare revision number that only goes up. After a restore the numbers are given out again. If they pass the old position before the next call, the store answers no 410, and the changes below that position are never reported. The class: an order of events taken from a counter that its owner can set back. It held for the watch of the plans, that of the endpoints, each endpoint's own revision, gossip, pages of peers and the roster's condition.

Change: a revision holds the era in its upper bits (MakeStoreRevision), so all that compares revisions orders them across restores, peers of an earlier version included. A watch from another era reads the whole instead, also when the store passes the position again. The era of a read that may lag is unknown, so the first watch after it reads the whole once. After a restore: unlisted endpoints get two seconds to register again; listings do not bring back what has left or is leaving (leaving is final for a process, one that was only unlisted is used again when it writes); the roster is read again, and written only on a revision of the same era. The fake store and the platform fuzz world can restore the store.

--- a/libs/core/include/core/endpoint_change.h
+++ b/libs/core/include/core/endpoint_change.h
@@ -22,7 +22,7 @@
   Endpoint row;
   /** Start time of the endpoint's process, in milliseconds of wall time; 0 if not reported. */
   uint64_t incarnation = 0;
-  /** Revision of the store at which the change was made. */
+  /** Revision of the store at which the change was made; see MakeStoreRevision(). */
   uint64_t revision = 0;
   /** Remaining warm-up time after the start of the endpoint, in which it is expected to be slow. */
   std::chrono::milliseconds warmup{};
--- a/libs/core/include/core/event.h
+++ b/libs/core/include/core/event.h
@@ -72,7 +72,7 @@
   /** The endpoints listed in the platform's store were read: all of them, or those that changed. */
   struct EndpointsReceived {
     TimePoint now;
-    /** Revision of the store up to which the data is complete. */
+    /** Revision of the store up to which the data is complete; see MakeStoreRevision(). */
     uint64_t as_of = 0;
     /** Whether the event lists all endpoints: any other endpoint is gone. */
     bool whole = false;
--- a/libs/core/include/core/gossip_message.h
+++ b/libs/core/include/core/gossip_message.h
@@ -58,8 +58,9 @@
   uint64_t reply_to = 0;
   /** Whether the receiver forwards the `endpoint_changes` that are new to it to the peers in its failure domain. */
   bool relay = false;
-  /** Hash over the endpoints known to the sender, and the revision of the store up to which it knows them. */
+  /** Hash over the endpoints known to the sender. */
   uint64_t endpoints_digest = 0;
+  /** Revision of the store up to which the sender knows the endpoints; see MakeStoreRevision(). */
   uint64_t endpoints_as_of = 0;
   /** Hash over the kLeaving and kReturned rumors of the sender; equal if both peers hold the same ones. */
   uint64_t leaving_digest = 0;
--- a/libs/core/src/discovery.cc
+++ b/libs/core/src/discovery.cc
@@ -108,6 +108,12 @@
   if (since < kEndpointReadPeriod)
     return false;
   if (IsEndpointReader(parts, now)) {
+    // Until now the listing may have held endpoints that ended before the store was restored.
+    whole = now >= feed.rereads_at;
+    if (whole) {
+      feed.rereads_at = TimePoint::max();
+      return true;
+    }
     read.wait = kMaxChangeWait;
     return true;
   }
@@ -120,16 +126,24 @@
 
 }  // namespace
 
+/** Notes a revision that the store or a peer reports; after a restore, what this instance wrote may be lost too. */
+void NoteRevision(StateParts& parts, uint64_t revision, TimePoint now) {
+  if (parts.feed.NoteRevision(revision, now))
+    parts.roster.read = false;
+}
+
 void OnEndpointsReceived(StateParts& parts, const Event::EndpointsReceived& event, Effects& effects) {
   EndpointFeed& feed = parts.feed;
+  NoteRevision(parts, event.as_of, event.now);
   // An older read is ignored: all changes up to as_of have been applied, and it could remove endpoints that were listed
   // again since.
   if (event.as_of < feed.as_of)
     return;
   std::vector<EndpointChange> new_changes;
   const Duration removal_delay = RemovalDelay(parts, event.now);
+  const auto source = event.whole ? EndpointFeed::Source::kListing : EndpointFeed::Source::kWrite;
   for (const EndpointChange& change : event.changes) {
-    if (feed.Apply(change, removal_delay, event.now))
+    if (feed.Apply(change, source, removal_delay, event.now))
       new_changes.push_back(change);
   }
   if (event.whole)
@@ -182,11 +196,13 @@
     return;
   EndpointFeed& feed = parts.feed;
   std::vector<EndpointChange> new_changes;
+  NoteRevision(parts, message.endpoints_as_of, now);
   for (const EndpointChange& change : message.endpoint_changes) {
+    NoteRevision(parts, change.revision, now);
     // A paused instance may send changes from before the latest read when it resumes; they could restore removed
     // endpoints.
     const bool old = change.revision <= feed.as_of;
-    if (!old && feed.Apply(change, RemovalDelay(parts, now), now))
+    if (!old && feed.Apply(change, EndpointFeed::Source::kWrite, RemovalDelay(parts, now), now))
       new_changes.push_back(change);
   }
   if (!new_changes.empty())
--- a/libs/core/src/endpoint_feed.cc
+++ b/libs/core/src/endpoint_feed.cc
@@ -6,6 +6,7 @@
 #include <absl/container/flat_hash_set.h>
 
 #include "base/hash.h"
+#include "core/store_revision.h"
 
 namespace sassafras {
 namespace {
@@ -13,6 +14,9 @@
 /** Time for which removed endpoints are remembered, so that late changes to them are recognised. */
 constexpr std::chrono::minutes kGoneEntryRetention{2};
 
+/** Time after a restore in which the store may list endpoints that have ended: until their entries expire. */
+constexpr std::chrono::seconds kOutdatedEntryLifetime{6};
+
 uint64_t HashOf(const EndpointChange& change) {
   const uint64_t kind = Hash64(change.row.address, static_cast<uint64_t>(change.kind));
   const uint64_t row = Hash64(change.row.service, Hash64(change.row.name, kind));
@@ -30,7 +34,36 @@
     m_digest ^= HashOf(change);
 }
 
-bool EndpointFeed::Apply(const EndpointChange& change, Duration removal_delay, TimePoint now) {
+bool EndpointFeed::NoteRevision(uint64_t revision, TimePoint now) {
+  const uint64_t era = EraOf(revision);
+  if (era <= m_era)
+    return false;
+  const bool restored = m_era != 0;
+  m_era = era;
+  if (!restored)
+    return false;
+  store_recovered_at = now;
+  m_outdated_entries_until = now + kOutdatedEntryLifetime;
+  rereads_at = m_outdated_entries_until;
+  return true;
+}
+
+bool EndpointFeed::IsOutdatedEntry(const KnownEndpoint& known,
+                                   const EndpointChange& change,
+                                   Source source,
+                                   TimePoint now) const {
+  const bool same_process = change.incarnation <= known.change.incarnation;
+  const bool restored = EraOf(change.revision) > EraOf(known.change.revision) && EraOf(known.change.revision) != 0;
+  if (change.kind != EndpointChange::Kind::kServing || !same_process || !restored)
+    return false;
+  // Leaving is final for a process. An endpoint that was only unlisted may be alive: its next write shows it.
+  if (known.change.kind == EndpointChange::Kind::kLeaving)
+    return change.incarnation != 0;
+  return known.change.kind == EndpointChange::Kind::kGone && source == Source::kListing &&
+         now < m_outdated_entries_until;
+}
+
+bool EndpointFeed::Apply(const EndpointChange& change, Source source, Duration removal_delay, TimePoint now) {
   const bool gone = change.kind == EndpointChange::Kind::kGone;
   const auto found = m_known.find(change.row.name);
   if (found == m_known.end() && gone)
@@ -39,6 +72,8 @@
   const bool is_new = found == m_known.end();
   if (!is_new && change.revision <= std::max(known.change.revision, known.gone_revision))
     return false;
+  if (!is_new && IsOutdatedEntry(known, change, source, now))
+    return false;
   if (!is_new && HasSameContent(known.change, change) && known.gone_at == TimePoint::max()) {
     known.change.revision = change.revision;
     return false;
@@ -59,8 +94,10 @@
     ToggleInDigest(known.change);
   const EndpointChange before = known.change;
   known.change = change;
-  if (gone)
+  if (gone) {
     known.change.row = before.row;
+    known.change.incarnation = before.incarnation;
+  }
   known.gone_at = gone ? now : TimePoint::max();
   if (gone)
     m_next_expiry = std::min(m_next_expiry, now + kGoneEntryRetention);
@@ -87,7 +124,7 @@
     change.revision = as_of_revision;
   }
   for (const EndpointChange& change : gone) {
-    if (Apply(change, removal_delay, now))
+    if (Apply(change, Source::kListing, removal_delay, now))
       changes.push_back(change);
     // A complete listing shows that the endpoint is gone, but not since when: it was listed at the previous read.
     KnownEndpoint& known = m_known[change.row.name];
--- a/libs/core/src/endpoint_feed.h
+++ b/libs/core/src/endpoint_feed.h
@@ -29,12 +29,25 @@
   /** By name, so that every process visits the endpoints in the same order and a simulation can be repeated. */
   using Entries = absl::btree_map<std::string, KnownEndpoint>;
 
+  /** Where a change comes from. */
+  enum class Source : uint8_t {
+    /** A write to the store. */
+    kWrite,
+    /** A listing of the store or of a peer, which also holds entries that were written long before. */
+    kListing,
+  };
+
   /**
    * Applies a change unless the same or a later revision of the endpoint is known.
    * @param removal_delay  how long an endpoint that is no longer listed is still used
    * @return whether the change has an effect now; false if it is delayed by `removal_delay`
    */
-  bool Apply(const EndpointChange& change, Duration removal_delay, TimePoint now);
+  bool Apply(const EndpointChange& change, Source source, Duration removal_delay, TimePoint now);
+  /** Takes note of a revision that the store or a peer reports; returns whether it shows that the store was restored.
+   */
+  bool NoteRevision(uint64_t revision, TimePoint now);
+  /** When all endpoints have to be read again because of a restore; TimePoint::max() for never. */
+  TimePoint rereads_at = TimePoint::max();
   /** Removes all endpoints but `listed`, the complete listing as of a revision; appends new removals to `changes`. */
   void RemoveUnlisted(const std::vector<EndpointChange>& listed,
                       uint64_t as_of_revision,
@@ -71,7 +84,14 @@
 
  private:
   void ToggleInDigest(const EndpointChange& change);
+  /** Whether `change` is an entry that a restored store lists although the endpoint has left or is leaving since. */
+  bool IsOutdatedEntry(const KnownEndpoint& known, const EndpointChange& change, Source source, TimePoint now) const;
+
   Entries m_known;
+  /** Highest era of the store that is known; 0 if none is. */
+  uint64_t m_era = 0;
+  /** Until when a listing may still hold entries of endpoints that have ended before the store was restored. */
+  TimePoint m_outdated_entries_until{};
   /** Latest gone_at of all delayed removals. */
   TimePoint m_last_gone_at{};
   uint64_t m_digest = 0;
--- a/libs/core/tests/discovery_test.cc
+++ b/libs/core/tests/discovery_test.cc
@@ -4,6 +4,7 @@
 #include <string>
 
 #include "core/gossip_message.h"
+#include "core/store_revision.h"
 #include "single_instance.h"
 
 namespace sassafras {
@@ -241,6 +242,81 @@
   CHECK(fixture.instance.GetState().KnownEndpoints().size() == 1);
 }
 
+/** Revision of a store that has been restored `era` - 1 times. */
+constexpr uint64_t At(uint64_t era, uint64_t number) {
+  return MakeStoreRevision(era, number);
+}
+
+EndpointChange MakeListed(uint64_t revision, uint64_t incarnation) {
+  EndpointChange change = SingleInstance::MakeChange("e", 10);
+  change.revision = revision;
+  change.incarnation = incarnation;
+  return change;
+}
+
+// Guards against changes that are taken for old ones because a restored store counts its revisions from a lower number.
+TEST_CASE("after a restore of the store, changes with lower revision numbers are applied") {
+  Fixture fixture;
+  fixture.instance.ReceiveEndpoints({MakeListed(At(1, 90), 1)}, true, At(1, 95));
+  fixture.instance.ReceiveEndpoints({MakeListed(At(2, 20), 1)}, true, At(2, 60));
+  fixture.instance.Advance(Millis(2'100));
+  EndpointChange leaving = MakeListed(At(2, 61), 1);
+  leaving.kind = Kind::kLeaving;
+  fixture.instance.ReceiveEndpoints({leaving}, false, At(2, 61));
+  CHECK_FALSE(fixture.AcceptsCall());
+}
+
+// Guards against calls to an endpoint that is leaving, because a restored store lists its entry from before that.
+TEST_CASE("an endpoint that is leaving is not used again because a restored store lists it as serving") {
+  Fixture fixture;
+  EndpointChange leaving = MakeListed(At(1, 90), 1);
+  leaving.kind = Kind::kLeaving;
+  fixture.instance.ReceiveEndpoints({leaving}, true, At(1, 95));
+  fixture.instance.ReceiveEndpoints({MakeListed(At(2, 20), 1)}, true, At(2, 60));
+  CHECK_FALSE(fixture.AcceptsCall());
+  fixture.instance.Advance(Millis(7'000));
+  fixture.instance.ReceiveEndpoints({MakeListed(At(2, 20), 1)}, true, At(2, 70));
+  CHECK_FALSE(fixture.AcceptsCall());
+  // A new process of the endpoint is used.
+  fixture.instance.ReceiveEndpoints({MakeListed(At(2, 71), 2)}, false, At(2, 71));
+  CHECK(fixture.AcceptsCall());
+}
+
+// Guards against calls to an endpoint that has ended, because a restored store still lists it.
+TEST_CASE("an endpoint that is gone is not used again because a restored store lists it, but if it writes again") {
+  Fixture fixture;
+  fixture.instance.ReceiveEndpoints({MakeListed(At(1, 90), 1)}, true, At(1, 95));
+  fixture.instance.ReceiveEndpoints({MakeGoneChange("e", At(1, 96))}, false, At(1, 96));
+  fixture.instance.ReceiveEndpoints({MakeListed(At(2, 20), 1)}, true, At(2, 60));
+  CHECK_FALSE(fixture.AcceptsCall());
+  fixture.instance.ReceiveEndpoints({MakeListed(At(2, 61), 1)}, false, At(2, 61));
+  CHECK(fixture.AcceptsCall());
+}
+
+// Guards against an endpoint that started lately and is dropped because the copy is older than its entry.
+TEST_CASE("an endpoint that a restored store does not list stays in use until it had time to register again") {
+  Fixture fixture;
+  fixture.instance.ReceiveEndpoints({MakeListed(At(1, 90), 1)}, true, At(1, 95));
+  fixture.instance.ReceiveEndpoints({}, true, At(2, 60));
+  CHECK(fixture.AcceptsCall());
+  fixture.instance.Advance(Millis(2'100));
+  fixture.Tick();
+  CHECK_FALSE(fixture.AcceptsCall());
+}
+
+// Guards against a peer that reads the old history and undoes what this instance has read after the restore.
+TEST_CASE("gossip from before a restore does not undo what was read after it") {
+  Fixture fixture;
+  fixture.instance.ReceiveEndpoints({MakeListed(At(1, 90), 1)}, true, At(1, 95));
+  EndpointChange leaving = MakeListed(At(2, 20), 2);
+  leaving.kind = Kind::kLeaving;
+  fixture.instance.ReceiveEndpoints({leaving}, true, At(2, 60));
+  GossipMessage late_message;
+  late_message.endpoint_changes = {MakeListed(At(1, 99), 1)};
+  fixture.ReceiveGossip(late_message);
+  CHECK_FALSE(fixture.AcceptsCall());
+}
+
 TEST_CASE("an instance whose endpoints keep differing from those of a peer reads all of them from the store") {
   Fixture fixture;
   GossipMessage message;
--- a/libs/core/tests/fake_store.cc
+++ b/libs/core/tests/fake_store.cc
@@ -42,6 +42,18 @@
   SaveSnapshot(now);
 }
 
+void FakeStore::Restore(TimePoint now, Duration age) {
+  const uint64_t era = EraOf(m_latest.revision) + 1;
+  m_latest = SnapshotAt(now, age);
+  m_latest.revision = MakeStoreRevision(era, RevisionNumber(m_latest.revision));
+  for (auto& [name, endpoint] : m_latest.endpoints)
+    endpoint.revision = MakeStoreRevision(era, RevisionNumber(endpoint.revision));
+  CompactHistory();
+  roster.clear();
+  roster_revision = 0;
+  SaveSnapshot(now);
+}
+
 bool FakeStore::ChangesAfter(uint64_t revision, std::vector<EndpointChange>& changes) const {
   if (revision < m_compacted_revision)
     return false;
--- a/libs/core/tests/fake_store.h
+++ b/libs/core/tests/fake_store.h
@@ -9,6 +9,7 @@
 #include "base/clock.h"
 #include "core/endpoint_change.h"
 #include "core/member.h"
+#include "core/store_revision.h"
 
 namespace sassafras {
 
@@ -17,7 +18,7 @@
  public:
   /** Endpoints and generation at one revision. */
   struct Snapshot {
-    uint64_t revision = 1;
+    uint64_t revision = MakeStoreRevision(1, 1);
     uint64_t generation = 1;
     std::map<std::string, EndpointChange> endpoints;
   };
@@ -35,6 +36,9 @@
   /** Drops the change history up to the current revision. */
   void CompactHistory();
 
+  /** Restores the endpoints, the plans and the revision from a copy that is `age` old; the roster is lost. */
+  void Restore(TimePoint now, Duration age);
+
   /** Writes the roster if it is still at `revision`; returns whether it was written. */
   bool WriteRoster(const std::vector<Member>& members, uint64_t revision);
 
--- a/libs/core/tests/fleet_fuzz_test.cc
+++ b/libs/core/tests/fleet_fuzz_test.cc
@@ -110,6 +110,12 @@
   void Act(PlatformFleetSimulation& simulation) const override { simulation.BringStoreUp(); }
 };
 
+struct RestoreStore : Step {
+  void Act(PlatformFleetSimulation& simulation) const override {
+    simulation.RestoreStore(Millis(static_cast<int>(pick) * 9));
+  }
+};
+
 struct ChangeReadLag : Step {
   void Act(PlatformFleetSimulation& simulation) const override {
     simulation.SetReadLag(Millis(pick % 2 == 0 ? 0 : 3'000));
@@ -173,7 +179,7 @@
         rc::state::gen::execOneOfWithArgs<
             SendCalls, SendCalls, SendCalls, SendCalls, DisconnectCaller, PauseInstance, ResumeInstance, ResumeInstance,
             KillInstance, RestartInstance, RestartInstance, RestartAllInstances, StopInstance, IsolateInstance,
-            ChangeStoreMode, ChangeStoreMode, TakeStoreDown, BringStoreUp, BringStoreUp, ChangeReadLag,
+            ChangeStoreMode, ChangeStoreMode, TakeStoreDown, BringStoreUp, BringStoreUp, RestoreStore, ChangeReadLag,
             CompactStoreHistory, MoveRoute, MoveRoute, DrainEndpoint, CrashEndpoint, StartEndpoint, StartEndpoint,
             RestartEndpoint, WriteDamagedEntry, LoseAnswers, ChangeGossipDropRate, LongDelay, LongDelay>());
     simulation->RecoverAndCheck();
@@ -262,6 +268,27 @@
   CheckGuarantees(simulation);
 }
 
+// Guards against endpoints and plans that stay as they were, or go back, after the store was restored from a copy.
+TEST_CASE("a store that is restored from a copy loses no change and brings back no endpoint that has left") {
+  for (uint64_t seed = 50; seed < 60; ++seed) {
+    PlatformFleetSimulation simulation(seed);
+    simulation.Advance(Millis(3'000));
+    simulation.MoveRoute();
+    simulation.Drain(0);
+    simulation.StartEndpoint(6, false);
+    SendFor(simulation, Millis(4'000));
+    simulation.TakeStoreDown(StoreMode::kSilent, false);
+    SendFor(simulation, Millis(1'500));
+    simulation.RestoreStore(Millis(6'000));
+    SendFor(simulation, Millis(500));
+    simulation.MoveRoute();
+    SendFor(simulation, Millis(6'000));
+    simulation.Drain(2);
+    SendFor(simulation, Millis(4'000));
+    CheckGuarantees(simulation);
+  }
+}
+
 TEST_CASE("when all instances but one are killed as the plans change, the survivor has the new plans in time") {
   for (uint64_t seed = 10; seed < 20; ++seed) {
     PlatformFleetSimulation simulation(seed);
--- a/libs/core/tests/lists_currency_test.cc
+++ b/libs/core/tests/lists_currency_test.cc
@@ -24,9 +24,7 @@
     instance.ReceiveEndpoints({SingleInstance::MakeChange("e", 10)}, true, 10);
   }
   /** Delivers a confirmation from the store that it holds no generation above `generation`. */
-  void Confirm(uint64_t generation) {
-    instance.HandleEvent(Event::StoreConfirmed{instance.Now(), generation});
-  }
+  void Confirm(uint64_t generation) { instance.HandleEvent(Event::StoreConfirmed{instance.Now(), generation}); }
   void ReceiveGossip(uint64_t generation, Millis store_age) {
     GossipMessage message;
     message.sender.name = "i1";
--- a/libs/core/tests/platform_fleet_simulation.cc
+++ b/libs/core/tests/platform_fleet_simulation.cc
@@ -240,6 +240,30 @@
   }
 }
 
+void PlatformFleetSimulation::RestoreStore(Millis age) {
+  const uint64_t latest_generation = m_store.Latest().generation;
+  BringStoreUp();
+  m_store.Restore(m_now, age);
+  for (uint64_t generation = m_store.Latest().generation; generation < latest_generation; ++generation)
+    m_store.NextGeneration(m_now);
+  for (size_t address = 0; address < kAddresses; ++address) {
+    RunAfter(Millis(static_cast<int64_t>(m_random() % kMaxEntryReturnDelay.count())),
+             [this, address, name = m_endpoints[address].name] {
+               if (m_endpoints[address].up && m_endpoints[address].name == name)
+                 PutEntry(address);
+             });
+  }
+  RunAfter(kEntryLease, [this] {
+    const auto listed = m_store.Latest().endpoints;
+    for (const auto& [name, entry] : listed) {
+      const bool up = std::any_of(m_endpoints.begin(), m_endpoints.end(),
+                                  [&](const FakeEndpoint& endpoint) { return endpoint.up && endpoint.name == name; });
+      if (!up)
+        m_store.Remove(name, m_now);
+    }
+  });
+}
+
 void PlatformFleetSimulation::MoveRoute() {
   if (m_store_down)
     return;
--- a/libs/core/tests/platform_fleet_simulation.h
+++ b/libs/core/tests/platform_fleet_simulation.h
@@ -65,6 +65,11 @@
   void BringStoreUp();
   /** Sets by how much reads that may lag are behind the store. */
   void SetReadLag(Millis lag) { m_read_lag = lag; }
+  /**
+   * Makes the store available again with its content of `age` ago. The operator and the endpoints that are up write
+   * again what was lost; the entries of the others expire.
+   */
+  void RestoreStore(Millis age);
   void CompactStoreHistory() { m_store.CompactHistory(); }
   /** Publishes a generation in which the plan of repeatable calls uses the other service. */
   void MoveRoute();
--- a/libs/net/src/http_client.cc
+++ b/libs/net/src/http_client.cc
@@ -116,7 +116,11 @@
   co_await http::async_read(stream, buffer, parser, RedirectErrorTo(error));
   if (error)
     co_return ReplyLostError(address, error);
-  co_return HttpReply{static_cast<int>(parser.get().result_int()), std::move(parser.get().body())};
+  HttpReply reply;
+  reply.status = static_cast<int>(parser.get().result_int());
+  reply.body = std::move(parser.get().body());
+  reply.headers = std::move(parser.get().base());
+  co_return reply;
 }
 
 asio::awaitable<absl::Status> StreamHttp(std::string address,
