--- a/libs/core/src/attempts.cc
+++ b/libs/core/src/attempts.cc
@@ -6,6 +6,7 @@
 #include "call_end.h"
 #include "dispatch.h"
 #include "endpoint_learning.h"
+#include "held_calls.h"
 #include "load_probing.h"
 #include "selection.h"
 #include "state_parts.h"
--- a/libs/core/src/call_end.cc
+++ b/libs/core/src/call_end.cc
@@ -5,7 +5,7 @@
 #include <random>
 #include <utility>
 
-#include "load_probing.h"
+#include "probe_results.h"
 #include "state_parts.h"
 
 namespace sassafras {
--- a/libs/core/src/dispatch.cc
+++ b/libs/core/src/dispatch.cc
@@ -7,6 +7,7 @@
 
 #include "call_end.h"
 #include "load_probing.h"
+#include "probe_results.h"
 #include "selection.h"
 #include "state_parts.h"
 
--- /dev/null
+++ b/libs/core/src/held_calls.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include "base/clock.h"
+#include "base/handle.h"
+#include "core/call_handle.h"
+#include "core/effect.h"
+
+namespace sassafras {
+
+struct CallState;
+struct LoadReport;
+struct StateParts;
+
+/** Returns the maximum wait of the call for probe answers, and the maximum age at which it probes again. */
+Duration MaxProbeWait(StateParts& parts, const CallState& call);
+
+/**
+ * Holds the call until it may probe again, or, while the probe budget is low, until an answer shows a free slot.
+ * @param endpoint  the best endpoint so far
+ * @return false if the call was held long enough, or if probing again costs more than `endpoint` is worth
+ */
+bool HoldForBetter(StateParts& parts,
+                   CallHandle handle,
+                   EndpointHandle endpoint,
+                   float estimate,
+                   TimePoint now,
+                   Effects& effects);
+
+/**
+ * Sends a held call to the endpoint if `load`, which came with an answer that just ended, shows a free slot: the most
+ * urgent call that would end in time there, and of those the one held longest. This costs no probe.
+ */
+void DispatchHeldCall(StateParts& parts,
+                      EndpointHandle endpoint,
+                      const LoadReport& load,
+                      TimePoint now,
+                      Effects& effects);
+
+}  // namespace sassafras
--- a/libs/core/src/load_probing.cc
+++ b/libs/core/src/load_probing.cc
@@ -1,15 +1,16 @@
 #include "load_probing.h"
 
 #include <algorithm>
-#include <array>
 #include <chrono>
-#include <cmath>
-#include <limits>
 
 #include "call_end.h"
 #include "dispatch.h"
 #include "endpoint_learning.h"
+#include "held_calls.h"
+#include "latency_estimate.h"
+#include "probe_results.h"
 #include "selection.h"
+#include "slot_admission.h"
 #include "state_parts.h"
 
 namespace sassafras {
@@ -32,18 +33,6 @@
  * first probe answer it waits for kMaxProbeWait.
  */
 constexpr float kExpectedLatencyDivisor = 4.0F;
-/**
- * The objective latency of the plan divided by this is the maximum wait for probe answers, and the maximum age of a
- * call that probes again.
- */
-constexpr int kObjectiveLatencyDivisor = 8;
-/** Delay before a call whose estimates were all too high probes again. */
-constexpr milliseconds kReprobeDelay{12};
-/**
- * A call is sent to a full endpoint only if by its estimate it ends within this fraction of the objective latency,
- * counted from its arrival.
- */
-constexpr float kMaxObjectiveFractionWhenFull = 0.75F;
 /** A hedge is sent only to an endpoint where it leaves at most this share of the slots in use. */
 constexpr float kMaxHedgeUtilization = 0.6F;
 /** Fraction of load_probes_per_endpoint_per_second that is used, and the time for which unused probes accumulate. */
@@ -52,81 +41,8 @@
 /** Fill level of the budget below which fewer probes are sent at a time, and how many. */
 constexpr double kLowBudgetLevel = 0.25;
 constexpr size_t kProbesAtLowBudget = 2;
-/** Minimum fill level of the budget at which calls may probe more than once. */
-constexpr double kReprobeBudgetLevel = 0.5;
-/** Relative latency up to which an endpoint does not count as slow. */
-constexpr float kSlowRelativeLatency = 1.3F;
-/** Factor on the estimates of endpoints in another failure domain: they have to be this much faster to be chosen. */
-constexpr float kRemoteLatencyFactor = 1.1F;
 /** An estimate up to this multiple of the expected latency is accepted without further probes. */
 constexpr float kGoodEnoughFactor = 1.35F;
-/** Factor by which the failure rate of an endpoint raises its estimate. */
-constexpr float kFailureWeight = 8.0F;
-/** Expected latency of a service before its first answer. */
-constexpr float kInitialLatencyUs = 100'000.0F;
-constexpr float kWarmupSlowdown = 2.0F;
-constexpr float kUnhealthySlowdown = 5.0F;
-/** Utilization of an endpoint whose slots are all in use and that has no queue. */
-constexpr float kAllSlots = 1.0F;
-/** Share of probed endpoints without a free slot above which free slots of the service are scarce. */
-constexpr float kScarceFullShare = 0.5F;
-constexpr float kNoEstimate = std::numeric_limits<float>::infinity();
-
-float ExpectedLatency(StateParts& parts, const CallState& call) {
-  const float latency = parts.ServiceOf(call).LatencyFor(parts.At(call.plan).config.work);
-  return latency > 0 ? latency : kInitialLatencyUs;
-}
-
-/** Returns how much slower than its service the endpoint was lately, beyond the slowdown it reported itself. */
-float LearnedSlowdown(const EndpointState& state, TimePoint now) {
-  return std::max(1.0F, RelativeLatencyAt(state, now) / kSlowRelativeLatency);
-}
-
-/** Returns the number of requests at the endpoint: those it reported and those that this instance sent since. */
-float ReportedOccupancy(const EndpointState& state, const LoadReport& load) {
-  const uint32_t since =
-      state.in_flight > state.own_in_flight_at_report ? state.in_flight - state.own_in_flight_at_report : 0;
-  return static_cast<float>(load.in_flight + since);
-}
-
-float SlotCount(const EndpointState& state, const LoadReport& load) {
-  return static_cast<float>(std::max(1u, load.slots > 0 ? load.slots : state.slots));
-}
-
-/** Factor by which an endpoint has to be faster than others to be chosen over them. */
-float AversionFactor(const EndpointState& state) {
-  const float failures = 1.0F + kFailureWeight * state.failure_rate;
-  return state.same_failure_domain ? failures : failures * kRemoteLatencyFactor;
-}
-
-/**
- * Estimates how long an attempt at the endpoint would take, in microseconds, from the load it just reported; multiplied
- * by its AversionFactor().
- */
-float EstimateLatency(StateParts& parts,
-                      const CallState& call,
-                      EndpointHandle endpoint,
-                      const LoadReport& load,
-                      TimePoint now) {
-  const EndpointState& state = parts.At(endpoint);
-  const ServiceState& service = parts.ServiceOf(call);
-  const float slots = SlotCount(state, load);
-  const float occupied = ReportedOccupancy(state, load) + 1.0F;
-  const float queued = std::max(0.0F, occupied - slots) / slots;
-  float slowdown = std::max(load.slowdown, 0.1F) * LearnedSlowdown(state, now);
-  if (occupied > kNearFullUtilization * slots)
-    slowdown *= std::max(1.0F, service.near_full_slowdown);
-  if (now < state.warmup_until)
-    slowdown *= kWarmupSlowdown;
-  if (load.unhealthy)
-    slowdown *= kUnhealthySlowdown;
-  return ExpectedLatency(parts, call) * slowdown * (1.0F + queued) * AversionFactor(state);
-}
-
-bool WasProbed(const CallState& call, EndpointHandle endpoint) {
-  const auto end = call.probed.begin() + call.probed_count;
-  return std::find(call.probed.begin(), end, endpoint) != end;
-}
 
 void SendLoadProbe(CallState& call, CallHandle handle, EndpointHandle endpoint, Effects& effects) {
   call.probed[call.probed_count] = endpoint;
@@ -183,32 +99,11 @@
   const auto preferred_wait = std::chrono::duration_cast<Duration>(std::max(usual_round_trips, worth_waiting));
   Duration wait = parts.load_probe_rtt_us > 0 ? std::clamp<Duration>(preferred_wait, kMinProbeWait, kMaxProbeWait)
                                               : Duration(kMaxProbeWait);
-  wait = std::min<Duration>(wait, parts.At(call.plan).config.objective_latency / kObjectiveLatencyDivisor);
+  wait = std::min(wait, MaxProbeWait(parts, call));
   call.decide_at = std::min(call.deadline, now + wait);
   effects.push_back(Effect::ArmProbeWaitTimer{call.ticket, call.decide_at});
 }
 
-/**
- * Returns the eligible endpoint with the lowest estimate among those with at most `max_utilization`; invalid if there
- * is none that answered.
- */
-EndpointHandle BestProbedEndpoint(StateParts& parts,
-                                  const CallState& call,
-                                  float max_utilization,
-                                  TimePoint now,
-                                  float& estimate) {
-  EndpointHandle best;
-  estimate = kNoEstimate;
-  for (size_t i = 0; i < call.probed_count; ++i) {
-    const bool has_room = call.probed_utilizations[i] <= max_utilization;
-    if (has_room && call.estimates_us[i] < estimate && IsEligible(parts, call, call.probed[i], now)) {
-      best = call.probed[i];
-      estimate = call.estimates_us[i];
-    }
-  }
-  return best;
-}
-
 /**
  * Chooses an endpoint without probe answers: of those not probed, the one with the fewest attempts of this instance; if
  * there is none, the first probed one.
@@ -248,72 +143,6 @@
     Hedge(parts, handle, endpoint, now, effects);
 }
 
-/** Returns the longest estimate, in microseconds, at which the call may still take a slot of a full endpoint. */
-float MaxAcceptableLatency(StateParts& parts, const CallState& call, TimePoint now) {
-  const float left = FloatMicros(call.deadline - now).count();
-  const float objective = FloatMicros(parts.At(call.plan).config.objective_latency).count();
-  // The objective counts from the caller's first try. A caller that comes back after a rejection has missed it, and a
-  // slot given to it would make another caller miss it too.
-  const float elapsed = FloatMicros(now - call.arrived_at + call.spent_before).count();
-  return std::min(left, kMaxObjectiveFractionWhenFull * objective - elapsed);
-}
-
-/** Returns the share of probed endpoints without a free slot. It halves with time, so that a crest is soon forgotten.
- */
-float FullShareAt(const ServiceState& service, TimePoint now) {
-  constexpr std::chrono::duration<float> kHalfLife{0.3F};
-  const std::chrono::duration<float> age = now - service.full_share_at;
-  return service.full_share * std::exp2(-(age / kHalfLife));
-}
-
-/**
- * Whether the call should be rejected rather than sent to the endpoint, because it would end too late there and its
- * slot is needed by calls that end in time. `estimate` is the one by which the endpoint was chosen.
- */
-bool WouldWasteSlot(StateParts& parts, const CallState& call, EndpointHandle endpoint, float estimate, TimePoint now) {
-  // An endpoint that fails often is a bad choice, but its answers take no longer.
-  const float latency = estimate / AversionFactor(parts.At(endpoint));
-  const bool scarce =
-      ProbedUtilization(call, endpoint) > kAllSlots || FullShareAt(parts.ServiceOf(call), now) > kScarceFullShare;
-  return scarce && latency > MaxAcceptableLatency(parts, call, now);
-}
-
-/** Whether the call waits for a slot to become free or for its next probes. */
-bool IsHeld(const CallState* call) {
-  return call != nullptr && call->stage == CallState::Stage::kProbing && call->reprobe_pending;
-}
-
-void AddHeld(StateParts& parts, ServiceState& service, CallHandle handle) {
-  std::vector<CallHandle>& held = service.held_calls;
-  std::erase_if(held, [&](CallHandle other) { return other == handle || !IsHeld(parts.calls.Find(other)); });
-  held.push_back(handle);
-}
-
-/**
- * Holds the call until it may probe again, or, while the probe budget is low, until an answer shows a free slot.
- * @param endpoint  the best endpoint so far
- * @return false if the call was held long enough, or if probing again costs more than `endpoint` is worth
- */
-bool HoldForBetter(StateParts& parts,
-                   CallHandle handle,
-                   EndpointHandle endpoint,
-                   float estimate,
-                   TimePoint now,
-                   Effects& effects) {
-  CallState& call = *parts.calls.Find(handle);
-  const Duration max_hold = parts.At(call.plan).config.objective_latency / kObjectiveLatencyDivisor;
-  if (now + kReprobeDelay - call.arrived_at > max_hold)
-    return false;
-  const bool may_reprobe = parts.load_probe_budget.FillLevel() >= kReprobeBudgetLevel;
-  if (!may_reprobe && !WouldWasteSlot(parts, call, endpoint, estimate, now))
-    return false;
-  call.reprobe_pending = true;
-  call.decide_at = may_reprobe ? now + kReprobeDelay : call.arrived_at + max_hold;
-  AddHeld(parts, parts.ServiceOf(call), handle);
-  effects.push_back(Effect::ArmProbeWaitTimer{call.ticket, call.decide_at});
-  return true;
-}
-
 /** Ends probing: dispatches or hedges the call by the answers received, schedules new probes, or rejects the call. */
 void FinishProbing(StateParts& parts, CallHandle handle, TimePoint now, Effects& effects) {
   CallState& call = *parts.calls.Find(handle);
@@ -362,24 +191,6 @@
 
 }  // namespace
 
-float ProbedUtilization(const CallState& call, EndpointHandle endpoint) {
-  for (size_t i = 0; i < call.probed_count; ++i) {
-    if (call.probed[i] == endpoint)
-      return call.probed_utilizations[i];
-  }
-  return 0;
-}
-
-DispatchBasis ProbeBasis(const CallState& call) {
-  DispatchBasis basis;
-  basis.attempt = call.attempts;
-  basis.asked = call.probed_count;
-  const auto end = call.estimates_us.begin() + call.probed_count;
-  const auto unanswered = std::count(call.estimates_us.begin(), end, kNoEstimate);
-  basis.answered = static_cast<uint8_t>(call.probed_count - unanswered);
-  return basis;
-}
-
 bool StartLoadProbing(StateParts& parts, CallHandle handle, TimePoint now, Effects& effects) {
   CallState& call = *parts.calls.Find(handle);
   call.probed_count = 0;
@@ -422,14 +233,10 @@
     UpdateAverage(parts.load_probe_rtt_us, FloatMicros(event.now - call->probes_sent_at).count());
     estimate = EstimateLatency(parts, *call, event.endpoint, event.load, event.now);
     const auto index = static_cast<size_t>(probed - call->probed.begin());
-    const EndpointState& state = parts.At(event.endpoint);
     call->estimates_us[index] = estimate;
-    const float utilization = (ReportedOccupancy(state, event.load) + 1.0F) / SlotCount(state, event.load);
+    const float utilization = UtilizationWithNextAttempt(parts.At(event.endpoint), event.load);
     call->probed_utilizations[index] = utilization;
-    ServiceState& service = parts.ServiceOf(*call);
-    service.full_share = FullShareAt(service, event.now);
-    service.full_share_at = event.now;
-    UpdateRate(service.full_share, utilization > kAllSlots);
+    RecordProbedUtilization(parts.ServiceOf(*call), utilization, event.now);
   } else {
     RecordFailure(parts, event.endpoint, event.now);
   }
@@ -443,34 +250,6 @@
     FinishProbing(parts, event.call, event.now, effects);
 }
 
-void DispatchHeldCall(StateParts& parts,
-                      EndpointHandle endpoint,
-                      const LoadReport& load,
-                      TimePoint now,
-                      Effects& effects) {
-  const EndpointState& state = parts.At(endpoint);
-  if (!load.present || !state.service.IsValid() || parts.At(state.service).held_calls.empty())
-    return;
-  if (ReportedOccupancy(state, load) + 1.0F > SlotCount(state, load))
-    return;
-  CallHandle chosen;
-  for (const CallHandle handle : parts.At(state.service).held_calls) {
-    const CallState* call = parts.calls.Find(handle);
-    if (!IsHeld(call) || !IsEligible(parts, *call, endpoint, now))
-      continue;
-    const float estimate = EstimateLatency(parts, *call, endpoint, load, now) / AversionFactor(state);
-    if (estimate > MaxAcceptableLatency(parts, *call, now))
-      continue;
-    const CallState* other = parts.calls.Find(chosen);
-    if (other == nullptr || parts.At(call->plan).config.priority < parts.At(other->plan).config.priority)
-      chosen = handle;
-  }
-  if (CallState* call = parts.calls.Find(chosen)) {
-    call->reprobe_pending = false;
-    Dispatch(parts, chosen, endpoint, now, effects);
-  }
-}
-
 void OnProbeWaitExpired(StateParts& parts, const Event::ProbeWaitExpired& event, Effects& effects) {
   const CallState* call = parts.calls.Find(event.call);
   if (call == nullptr || !IsAwaitingProbes(*call) || event.now < call->decide_at)
--- a/libs/core/src/load_probing.h
+++ b/libs/core/src/load_probing.h
@@ -21,25 +21,9 @@
  */
 bool StartLoadProbing(StateParts& parts, CallHandle handle, TimePoint now, Effects& effects);
 
-/** Returns the share of the endpoint's slots that would be in use with an attempt of the call; 0 if not known. */
-float ProbedUtilization(const CallState& call, EndpointHandle endpoint);
-
-/** Returns how many endpoints were probed for the latest attempt and how many answered, for the call log. */
-DispatchBasis ProbeBasis(const CallState& call);
-
 /** Handles the answer to a load probe, and dispatches the call once an endpoint can be chosen. */
 void OnLoadProbeEnded(StateParts& parts, const Event::ProbeEnded& event, Effects& effects);
 
-/**
- * Sends a held call to the endpoint if `load`, which came with an answer that just ended, shows a free slot: the most
- * urgent call that would end in time there, and of those the one held longest. This costs no probe.
- */
-void DispatchHeldCall(StateParts& parts,
-                      EndpointHandle endpoint,
-                      const LoadReport& load,
-                      TimePoint now,
-                      Effects& effects);
-
 /** Ends the wait for probe answers: decides by those received so far, or probes again if that was pending. */
 void OnProbeWaitExpired(StateParts& parts, const Event::ProbeWaitExpired& event, Effects& effects);
 
