Count time as spent only by callers that were rejected here before

A caller that allowed less time than others of its plan was taken for one that comes back after a rejection, so callers whose own limit is short were rejected under overload although they had just sent their first try.

What is lost: a caller that was rejected by another instance, or that changes its request between tries, or whose slot in the table was taken by another request, counts as new. Rejections are not gossiped. If the request id stayed the same over the tries of a caller, it would be better evidence, but the event does not hold it.

--- a/libs/core/src/call_end.cc
+++ b/libs/core/src/call_end.cc
@@ -128,6 +128,7 @@
   const CallState call = *parts.calls.Find(handle);
   const bool not_run = InfoOf(reason).outcome == Outcome::kNotRun;
   CountOutcome(parts, call, not_run ? &PlanCounters::not_run : &PlanCounters::unknown, now);
+  parts.rejected_calls.Record(call.fingerprint, call.arrived_at, call.caller_deadline, call.spent_before);
   const auto retry_after = RandomRetryAfter(parts, reason, call.caller_deadline - now);
   effects.push_back(Effect::Reject{call.ticket, reason, {}, retry_after, RejectionBasis(call)});
   parts.calls.Remove(handle);
--- a/libs/core/src/call_state.h
+++ b/libs/core/src/call_state.h
@@ -40,7 +40,7 @@
   TimePoint deadline;
   /** Time until which the caller waits; `deadline` may be earlier because of the plan's limit. */
   TimePoint caller_deadline;
-  /** Time that the caller seems to have spent before this call, on tries that were rejected. */
+  /** Time that the caller spent before this call, on tries that this instance rejected. */
   Duration spent_before{};
   /** Endpoint and start of each attempt. */
   std::array<EndpointHandle, kMaxAttempts> tried;
--- a/libs/core/src/calls.cc
+++ b/libs/core/src/calls.cc
@@ -11,12 +11,21 @@
 namespace sassafras {
 namespace {
 
-using FloatMicros = std::chrono::duration<float, std::micro>;
 using Stage = CallState::Stage;
 using Record = IdempotencyTable::Record;
 
-/** A caller that allows more time, or states no limit, does not show how much others allow. */
-constexpr std::chrono::minutes kMaxPlausibleTimeLeft{10};
+/** A caller that allows more time, or states no limit, is taken to wait this long. */
+constexpr std::chrono::hours kMaxCallerWait{1};
+
+/** Returns the time until which the caller waits, by what it stated. */
+TimePoint CallerDeadline(const Event::CallArrived& event) {
+  return event.now + std::min<Duration>(event.time_left, kMaxCallerWait);
+}
+
+/** Returns how long the caller has been trying, if this instance rejected it before. */
+Duration SpentBefore(const StateParts& parts, const Event::CallArrived& event) {
+  return parts.rejected_calls.SpentBefore(event.fingerprint, CallerDeadline(event), event.now);
+}
 
 void Reject(StateParts& parts, const Event::CallArrived& event, Reason reason, Effects& effects) {
   effects.push_back(Effect::Reject{event.ticket, reason, {}, RandomRetryAfter(parts, reason, event.time_left)});
@@ -28,23 +37,10 @@
   call.plan = event.plan;
   const bool not_run = InfoOf(reason).outcome == Outcome::kNotRun;
   CountOutcome(parts, call, not_run ? &PlanCounters::not_run : &PlanCounters::unknown, event.now);
+  parts.rejected_calls.Record(event.fingerprint, event.now, CallerDeadline(event), SpentBefore(parts, event));
   Reject(parts, event, reason, effects);
 }
 
-/**
- * Returns how long the caller has been trying, judged by how much less time it allows than others of the plan: callers
- * that come back after a rejection allow only what is left.
- */
-Duration SpentBefore(PlanState& plan, Duration time_left) {
-  constexpr float kDecay = 0.002F;
-  if (time_left > kMaxPlausibleTimeLeft)
-    return Duration::zero();
-  const float left = FloatMicros(time_left).count();
-  float& longest = plan.longest_time_left_us;
-  longest = std::max(left, longest + kDecay * (left - longest));
-  return std::chrono::duration_cast<Duration>(FloatMicros(longest - left));
-}
-
 CallHandle Accept(StateParts& parts, const Event::CallArrived& event, Effects& effects) {
   const CallHandle handle = parts.calls.Add();
   CallState& call = *parts.calls.Find(handle);
@@ -53,10 +49,10 @@
   call.fingerprint = event.fingerprint;
   call.replayable = event.replayable;
   call.arrived_at = event.now;
-  call.spent_before = SpentBefore(parts.At(event.plan), event.time_left);
+  call.spent_before = SpentBefore(parts, event);
   const Duration limit = std::min<Duration>(event.time_left, parts.At(event.plan).config.deadline);
   call.deadline = event.now + limit;
-  call.caller_deadline = event.now + std::min<Duration>(event.time_left, std::chrono::hours(1));
+  call.caller_deadline = CallerDeadline(event);
   effects.push_back(Effect::Accepted{event.ticket, handle});
   return handle;
 }
--- a/libs/core/src/plan_state.h
+++ b/libs/core/src/plan_state.h
@@ -18,8 +18,6 @@
   /** One branch per service of the plan; empty only while the plan is inactive. */
   std::vector<PlanBranch> branches;
   uint32_t next_round_robin = 0;
-  /** Longest time that callers allowed lately at their first try, in microseconds; 0 before the first call. */
-  float longest_time_left_us = 0;
   /** Running estimate of the 95th percentile of answer latency; 0 before the first answer. */
   float p95_us = 0;
   /** Virtual finish time of the last queued call, for fair queueing between plans of the same priority. */
--- a/libs/core/src/slot_admission.cc
+++ b/libs/core/src/slot_admission.cc
@@ -22,8 +22,7 @@
 /** Share of probed endpoints without a free slot above which free slots of the service are scarce. */
 constexpr float kScarceFullShare = 0.5F;
 
-/** Returns the share of probed endpoints without a free slot; it halves with time, so that a crest is soon forgotten.
- */
+/** Returns the share of probed endpoints without a free slot; it halves quickly, so that a crest is soon forgotten. */
 float FullShareAt(const ServiceState& service, TimePoint now) {
   constexpr std::chrono::duration<float> kHalfLife{0.3F};
   const std::chrono::duration<float> age = now - service.full_share_at;
--- a/libs/core/src/state_parts.h
+++ b/libs/core/src/state_parts.h
@@ -19,6 +19,7 @@
 #include "plan_state.h"
 #include "probe_schedule.h"
 #include "quarantine.h"
+#include "rejected_calls.h"
 #include "roster_state.h"
 #include "rumor_board.h"
 #include "service_state.h"
@@ -57,6 +58,7 @@
   EndpointFeed feed;
   IdempotencyTable records;
   Quarantine quarantine;
+  RejectedCalls rejected_calls;
   ListsTracker lists;
   Membership members;
   RumorBoard rumors;
