Bound the number of held calls that answers are matched with

Each call that was held scanned all held calls of its service, and so did each answer that showed a free slot; nothing bounded their number but the rate of arrivals. At most kMaxHeldCalls (256) of a service are now listed for answers. A call beyond that still waits for its next probes; while the probe budget is low nothing would end its wait in time, so it is rejected at once.

--- a/libs/core/src/held_calls.cc
+++ b/libs/core/src/held_calls.cc
@@ -26,10 +26,14 @@
   return call != nullptr && call->stage == CallState::Stage::kProbing && call->reprobe_pending;
 }
 
-void AddHeld(StateParts& parts, ServiceState& service, CallHandle handle) {
+/** Lets answers dispatch the held call, unless there are kMaxHeldCalls of them; returns whether they may. */
+bool AddHeld(StateParts& parts, ServiceState& service, CallHandle handle) {
   std::vector<CallHandle>& held = service.held_calls;
   std::erase_if(held, [&](CallHandle other) { return other == handle || !IsHeld(parts.calls.Find(other)); });
+  if (held.size() >= kMaxHeldCalls)
+    return false;
   held.push_back(handle);
+  return true;
 }
 
 }  // namespace
@@ -51,9 +55,11 @@
   const bool may_reprobe = parts.load_probe_budget.FillLevel() >= kReprobeBudgetLevel;
   if (!may_reprobe && !WouldWasteSlot(parts, call, endpoint, estimate, now))
     return false;
+  // Without probes, only an answer could end the wait in time.
+  if (!AddHeld(parts, parts.ServiceOf(call), handle) && !may_reprobe)
+    return false;
   call.reprobe_pending = true;
   call.decide_at = may_reprobe ? now + kReprobeDelay : call.arrived_at + max_hold;
-  AddHeld(parts, parts.ServiceOf(call), handle);
   effects.push_back(Effect::ArmProbeWaitTimer{call.ticket, call.decide_at});
   return true;
 }
--- a/libs/core/src/held_calls.h
+++ b/libs/core/src/held_calls.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <cstddef>
+
 #include "base/clock.h"
 #include "base/handle.h"
 #include "core/call_handle.h"
@@ -11,13 +13,20 @@
 struct LoadReport;
 struct StateParts;
 
+/**
+ * Maximum number of held calls of a service to which answers may give a free slot. It bounds the work for each call
+ * that is held and for each answer that shows a free slot.
+ */
+constexpr size_t kMaxHeldCalls = 256;
+
 /** Returns the maximum wait of the call for probe answers, and the maximum age at which it probes again. */
 Duration MaxProbeWait(StateParts& parts, const CallState& call);
 
 /**
  * Holds the call until it may probe again, or, while the probe budget is low, until an answer shows a free slot.
  * @param endpoint  the best endpoint so far
- * @return false if the call was held long enough, or if probing again costs more than `endpoint` is worth
+ * @return false if the call was held long enough, if probing again costs more than `endpoint` is worth, or if the
+ * budget is low and kMaxHeldCalls calls are held already
  */
 bool HoldForBetter(StateParts& parts,
                    CallHandle handle,
--- a/libs/core/tests/ask_first_test.cc
+++ b/libs/core/tests/ask_first_test.cc
@@ -1,12 +1,15 @@
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <functional>
 #include <optional>
 #include <string>
 #include <utility>
 
 #include "core/gossip_message.h"
+#include "held_calls.h"
 #include "single_instance.h"
+#include "state_parts.h"
 
 namespace sassafras {
 namespace {
@@ -232,6 +235,66 @@
   CHECK(SingleInstance::EffectsOfType<Dispatch>(EndAttempt(instance, running[0], 7)).empty());
 }
 
+// Guards against the failure that the work for each held call and each answer grew with the number of held calls.
+TEST_CASE("the number of held calls that an answer has to be matched with is bounded") {
+  StateOptions options;
+  options.load_probes_per_endpoint_per_second = 1'000;
+  SingleInstance instance(options);
+  AddEndpoints(instance, 3, 0);
+  Duration waited{};
+  const auto running =
+      SingleInstance::EffectsOfType<Dispatch>(ProbeUntilDecided(instance, instance.ReceiveCall(), 5, waited));
+  REQUIRE(running.size() == 1);
+  const std::vector<ServiceState>& services = instance.GetState().MutableParts().services;
+  size_t max_held = 0;
+  size_t rejected = 0;
+  std::vector<CallHandle> calls;
+  for (size_t i = 0; i < 2 * kMaxHeldCalls; ++i) {
+    for (const SendProbe& probe : SingleInstance::EffectsOfType<SendProbe>(instance.ReceiveCall())) {
+      rejected += SingleInstance::EffectsOfType<Reject>(instance.AnswerProbe(probe, 30, 1.0F)).size();
+      calls.push_back(probe.call);
+    }
+    for (const ServiceState& service : services)
+      max_held = std::max(max_held, service.held_calls.size());
+  }
+  CHECK(max_held == kMaxHeldCalls);
+  // The calls beyond the bound wait for their next probes like the others.
+  CHECK(rejected == 0);
+  // The call held longest takes the slot that an answer shows to be free.
+  const auto dispatches = SingleInstance::EffectsOfType<Dispatch>(EndAttempt(instance, running[0], 5));
+  REQUIRE(dispatches.size() == 1);
+  CHECK(dispatches[0].call == calls.front());
+}
+
+/** Answers a call's probes, without letting time pass, until no more are sent; returns the last effects. */
+Effects AnswerProbes(SingleInstance& instance, Effects effects, uint32_t in_flight) {
+  auto probes = SingleInstance::EffectsOfType<SendProbe>(effects);
+  while (!probes.empty()) {
+    effects.clear();
+    for (const SendProbe& probe : probes) {
+      const Effects& more_effects = instance.AnswerProbe(probe, in_flight, 1.0F);
+      effects.insert(effects.end(), more_effects.begin(), more_effects.end());
+    }
+    probes = SingleInstance::EffectsOfType<SendProbe>(effects);
+  }
+  return effects;
+}
+
+TEST_CASE("while the probe budget is low, a call is rejected at once if the maximum number of calls is held") {
+  StateOptions options;
+  // Enough probes for the calls below, but too few for them to probe again.
+  options.load_probes_per_endpoint_per_second = 60;
+  SingleInstance instance(options);
+  AddEndpoints(instance, 3, 0);
+  for (size_t i = 0; i <= kMaxHeldCalls; ++i) {
+    CAPTURE(i);
+    Effects effects = instance.ReceiveCall();
+    REQUIRE_FALSE(SingleInstance::EffectsOfType<SendProbe>(effects).empty());
+    effects = AnswerProbes(instance, std::move(effects), 30);
+    REQUIRE(SingleInstance::EffectsOfType<Reject>(effects).size() == (i < kMaxHeldCalls ? 0 : 1));
+  }
+}
+
 /** Answers all probes of the effects: one endpoint is full, the others are idle but run work five times slower. */
 Effects AnswerSlowOrFull(SingleInstance& instance, const std::vector<SendProbe>& probes, size_t full) {
   Effects effects;
