Skip damaged entries of the etcd directory instead of failing the whole listing

One entry that could not be decoded failed EtcdClient::List, so that one bad registration hid all instances from every entry instance. Such an entry is skipped now and logged as directory_entry_unusable with its key. "List skips entries that cannot be decoded and returns the others" failed before. The test uses the fake server of platform/tests.

--- a/libs/store/src/etcd_client.cc
+++ b/libs/store/src/etcd_client.cc
@@ -1,5 +1,6 @@
 #include "store/etcd_client.h"
 
+#include <optional>
 #include <utility>
 
 #include <absl/strings/escaping.h>
@@ -7,6 +8,7 @@
 #include <fmt/format.h>
 
 #include "base/error.h"
+#include "base/log.h"
 #include "net/http_client.h"
 
 namespace sassafras {
@@ -73,6 +75,26 @@
   return entry;
 }
 
+/** Returns the key of an item for the log, or a part of the text that stands in its place. */
+std::string PrintableKey(const json::value& item) {
+  constexpr size_t kMaxPrintedBytes = 100;
+  try {
+    return DecodeBase64(item.at("key")).substr(0, kMaxPrintedBytes);
+  } catch (const std::exception&) {
+    return json::serialize(item).substr(0, kMaxPrintedBytes);
+  }
+}
+
+/** Decodes an item of the directory; logs one that is damaged, and returns nothing for it. */
+std::optional<DirectoryEntry> DecodeDirectoryEntry(const json::value& item) {
+  try {
+    return ParseDirectoryEntry(DecodeBase64(item.at("value")));
+  } catch (const std::exception& error) {
+    Log(LogLevel::kError, "directory_entry_unusable", {{"key", PrintableKey(item)}, {"error", error.what()}});
+    return std::nullopt;
+  }
+}
+
 json::value MakePutIfRevisionRequest(std::string_view key,
                                      int64_t revision,
                                      std::string_view value,
@@ -291,8 +313,10 @@
     listing.revision = IntegerField(reply->at("header").as_object(), "revision");
     if (!HasKeyValues(*reply))
       co_return listing;
-    for (const json::value& kv : reply->at("kvs").as_array())
-      listing.entries.push_back(ParseDirectoryEntry(DecodeBase64(kv.at("value"))));
+    for (const json::value& item : reply->at("kvs").as_array()) {
+      if (auto entry = DecodeDirectoryEntry(item))
+        listing.entries.push_back(*std::move(entry));
+    }
   } catch (const std::exception& error) {
     co_return InvalidReplyError(error.what());
   }
