End pending fetches with an error when PeerRpc is destroyed

~PeerRpc dropped the callbacks of fetches that were queued or in progress, against "called once" in its header, and whoever waited for one waited for ever. PendingFetch passes a result on exactly once, with an error at the latest when it is dropped. "a fetch that is pending when the client is destroyed ends with an error" failed before, for a started client and for one that was not started.

--- a/libs/peers/include/peers/peer_rpc.h
+++ b/libs/peers/include/peers/peer_rpc.h
@@ -31,7 +31,9 @@
   /** Sets the document that peers fetch from here; keeps a few earlier ones as bases of deltas. */
   void Publish(std::shared_ptr<const ListsDocument> document);
   /**
-   * Asks a peer for lists of a generation above `above_generation`; `on_fetched` is called once, on the RPC thread.
+   * Asks a peer for lists of a generation above `above_generation`; `on_fetched` is called once, on the RPC thread. A
+   * fetch that is pending when this object is destroyed ends with an error, by the time the destructor returns and, if
+   * the RPC thread has not taken it up, on the thread that destroys this object.
    * @param full_document  whether to ask for the full document and not for a delta
    */
   void Fetch(std::string address, uint64_t above_generation, bool full_document, OnFetched on_fetched);
--- a/libs/peers/src/peer_rpc.cc
+++ b/libs/peers/src/peer_rpc.cc
@@ -31,15 +31,38 @@
 /** Documents kept, the newest included, as bases of deltas. */
 constexpr size_t kMaxDocuments = 4;
 
+/** A fetch whose result has to be passed on once: with an error at the latest when the fetch is dropped. */
+class PendingFetch {
+ public:
+  PendingFetch(std::string address, PeerRpc::OnFetched on_fetched)
+      : m_address(std::move(address)), m_on_fetched(std::move(on_fetched)) {}
+  ~PendingFetch() { Fail("not fetched before this instance stopped"); }
+  PendingFetch(const PendingFetch&) = delete;
+  PendingFetch& operator=(const PendingFetch&) = delete;
+
+  void Complete(absl::StatusOr<FetchedLists> lists) {
+    if (const auto on_fetched = std::exchange(m_on_fetched, nullptr))
+      on_fetched(std::move(lists));
+  }
+  void Fail(std::string_view description) {
+    Complete(MakeError(ErrorKind::kUnreachable, fmt::format("peer {}: {}", m_address, description),
+                       "check that the peer runs"));
+  }
+  const std::string& Address() const { return m_address; }
+
+ private:
+  std::string m_address;
+  PeerRpc::OnFetched m_on_fetched;
+};
+
 }  // namespace
 
 /** State shared by the caller's thread and the RPC thread; `mutex` guards the documents, the requests and `stop`. */
 struct PeerRpc::SharedState {
   struct Request {
-    std::string address;
+    std::shared_ptr<PendingFetch> fetch;
     uint64_t above_generation = 0;
     bool full_document = false;
-    OnFetched on_fetched;
   };
 
   ~SharedState() { ::close(wake_fd); }
@@ -208,16 +231,12 @@
   }
 
   kj::Promise<void> SendRequest(typename SharedState::Request request) {
-    auto callback = std::make_shared<PeerRpc::OnFetched>(std::move(request.on_fetched));
+    const auto fetch = request.fetch;
     return m_io.provider->getTimer()
-        .timeoutAfter(kCallTimeout, FetchFrom(m_io.provider->getNetwork(), request.address, request.above_generation,
+        .timeoutAfter(kCallTimeout, FetchFrom(m_io.provider->getNetwork(), fetch->Address(), request.above_generation,
                                               request.full_document))
-        .then([callback](FetchedLists lists) { (*callback)(std::move(lists)); },
-              [callback, address = request.address](kj::Exception&& failure) {
-                (*callback)(MakeError(ErrorKind::kUnreachable,
-                                      fmt::format("peer {}: {}", address, failure.getDescription().cStr()),
-                                      "check that the peer runs"));
-              });
+        .then([fetch](FetchedLists lists) { fetch->Complete(std::move(lists)); },
+              [fetch](kj::Exception&& failure) { fetch->Fail(failure.getDescription().cStr()); });
   }
 
   std::shared_ptr<SharedState> m_shared;
@@ -241,6 +260,12 @@
   m_shared->Wake();
   if (m_shared->thread.joinable())
     m_shared->thread.join();
+  // Requests that the thread did not take up; destroyed without the lock, because their callbacks may use it.
+  std::vector<SharedState::Request> untaken;
+  {
+    const std::lock_guard lock(m_shared->mutex);
+    untaken.swap(m_shared->requests);
+  }
 }
 
 absl::Status PeerRpc::Start(const std::string& address) {
@@ -263,9 +288,10 @@
 }
 
 void PeerRpc::Fetch(std::string address, uint64_t above_generation, bool full_document, OnFetched on_fetched) {
+  auto fetch = std::make_shared<PendingFetch>(std::move(address), std::move(on_fetched));
   {
     const std::lock_guard lock(m_shared->mutex);
-    m_shared->requests.push_back({std::move(address), above_generation, full_document, std::move(on_fetched)});
+    m_shared->requests.push_back({std::move(fetch), above_generation, full_document});
   }
   m_shared->Wake();
 }
--- a/libs/peers/tests/peer_rpc_test.cc
+++ b/libs/peers/tests/peer_rpc_test.cc
@@ -3,7 +3,12 @@
 #include <future>
 #include <memory>
 #include <string>
+#include <vector>
 
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+
+#include "base/error.h"
 #include "lists/lists_delta.h"
 #include "peers/peer_rpc.h"
 
@@ -60,5 +65,31 @@
   CHECK_FALSE(PeerRpc().Start(kServer).ok());
 }
 
+/** Fetches from `address` with a client that is destroyed before an answer arrives; returns the results passed on. */
+std::vector<absl::StatusOr<FetchedLists>> FetchAndDestroy(bool started, const std::string& address) {
+  std::vector<absl::StatusOr<FetchedLists>> results;
+  {
+    PeerRpc client;
+    if (started)
+      REQUIRE(client.Start(kClient).ok());
+    client.Fetch(address, 0, false, [&](absl::StatusOr<FetchedLists> lists) { results.push_back(std::move(lists)); });
+  }
+  return results;
+}
+
+// Guards against the failure that whoever waited for an answer waited for ever once the instance stopped.
+TEST_CASE("a fetch that is pending when the client is destroyed ends with an error") {
+  // Connections to it are established, but never answered.
+  boost::asio::io_context context;
+  boost::asio::ip::tcp::acceptor silent_peer(context, {boost::asio::ip::address_v4::loopback(), 0});
+  const std::string address = "127.0.0.1:" + std::to_string(silent_peer.local_endpoint().port());
+  for (const bool started : {true, false}) {
+    CAPTURE(started);
+    const auto results = FetchAndDestroy(started, address);
+    REQUIRE(results.size() == 1);
+    CHECK(ErrorKindOf(results[0].status()) == ErrorKind::kUnreachable);
+  }
+}
+
 }  // namespace
 }  // namespace sassafras
