Lab: the same seeds in every run

lab.py took the seeds of upstream stand-ins from hash() of the address, which Python changes from process to process, so a run could not be repeated. The seed is a CRC of the address now. "test_lab_gives_an_upstream_the_same_seed_in_every_process" failed before (three seeds in three processes).

--- a/tools/lab/lab.py
+++ b/tools/lab/lab.py
@@ -13,6 +13,7 @@
 import tempfile
 import time
 import urllib.request
+import zlib
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent))
 import make_lists
@@ -47,6 +48,11 @@
     raise AssertionError(f"timed out waiting for: {description}")
 
 
+def seed_of(address):
+    """The seed of the upstream at `address`; the same in every run."""
+    return zlib.crc32(address.encode()) % 1000
+
+
 class Upstream:
     def __init__(self, name, service, address, failure_domain, slots):
         self.name, self.service, self.address, self.failure_domain, self.slots = name, service, address, failure_domain, slots
@@ -105,7 +111,7 @@
         upstream.process = self.spawn(
             upstream.name, BUILD / "upstream_standin", "--name", upstream.name, "--listen", upstream.address, "--slots",
             upstream.slots, "--queue", self.queue, "--log", self.dir / f"{upstream.name}.runs", "--seed",
-            abs(hash(upstream.address)) % 1000, *self.upstream_args, *extra)
+            seed_of(upstream.address), *self.upstream_args, *extra)
         self.register_upstream(upstream, "live")
 
     def register_upstream(self, upstream, state):
