--- a/libs/core/include/core/state_options.h
+++ b/libs/core/include/core/state_options.h
@@ -29,7 +29,6 @@
   uint64_t record_bytes_limit = 16u << 20u;
   /** How long callers may cache an answer with addresses. */
   std::chrono::milliseconds address_ttl{5'000};
-  std::chrono::milliseconds stop_limit{60'000};
   /** Longest time that a leaving instance still accepts calls. */
   std::chrono::milliseconds linger_limit = std::chrono::hours(1);
   /**
