Log why the etcd store counts as lost

An answer with status 429 or 5xx was logged as platform_unreachable without the status, like a store that cannot be reached. The line has a field error now, as store_lost has. "the log line of a store that is lost says with which status it answered" failed before.

--- a/libs/entry/src/platform_link.cc
+++ b/libs/entry/src/platform_link.cc
@@ -76,14 +76,17 @@
   m_parser_thread.join();
 }
 
-void PlatformLink::RecordResult(bool ok) {
+void PlatformLink::RecordResult(const absl::Status& status) {
   ++m_request_count;
-  if (!ok)
+  if (!status.ok())
     ++m_failure_count;
-  if (ok == m_platform_reachable)
+  if (status.ok() == m_platform_reachable)
     return;
-  m_platform_reachable = ok;
-  Log(ok ? LogLevel::kInfo : LogLevel::kWarning, ok ? "platform_reachable" : "platform_unreachable");
+  m_platform_reachable = status.ok();
+  if (status.ok())
+    Log(LogLevel::kInfo, "platform_reachable");
+  else
+    Log(LogLevel::kWarning, "platform_unreachable", {{"error", MessageOf(status)}});
 }
 
 void PlatformLink::Poll() {
@@ -100,7 +103,7 @@
 
 asio::awaitable<void> PlatformLink::PollLists() {
   auto revision = co_await m_store.ReadRevision();
-  RecordResult(revision.ok());
+  RecordResult(revision.status());
   if (!revision.ok())
     co_return;
   if (!revision->exists) {
@@ -112,7 +115,7 @@
     co_return;
   }
   auto value = co_await m_store.Read();
-  RecordResult(value.ok());
+  RecordResult(value.status());
   if (value.ok() && value->exists)
     co_await ProcessDocument(std::move(value->value), value->revision);
 }
@@ -120,7 +123,7 @@
 asio::awaitable<void> PlatformLink::PollDirectory() {
   const bool whole = m_directory_revision == 0 || m_engine.Now() - m_full_listing_at > kFullListingPeriod;
   auto listing = co_await m_directory.List(whole ? 0 : m_directory_revision);
-  RecordResult(listing.ok());
+  RecordResult(listing.status());
   if (!listing.ok())
     co_return;
   m_directory_revision = listing->revision;
@@ -209,7 +212,7 @@
 
 asio::awaitable<void> PlatformLink::RunRestore() {
   auto value = co_await m_store.Read();
-  RecordResult(value.ok());
+  RecordResult(value.status());
   if (!value.ok())
     co_return;
   uint64_t stored = 0;
@@ -221,7 +224,7 @@
     co_return;
   // The compare-and-swap fails if that read was stale or an operator has written in the meantime.
   const auto written = co_await m_store.CompareAndSwap(value->revision, m_document);
-  RecordResult(written.ok());
+  RecordResult(written.status());
   if (written.ok() && *written) {
     Log(LogLevel::kWarning, "lists_restored",
         {{"generation", std::to_string(m_document_generation)}, {"store_had", std::to_string(stored)}});
@@ -236,7 +239,7 @@
 asio::awaitable<void> PlatformLink::RunClaim(uint32_t seat) {
   const TimePoint before = m_engine.Now();
   const auto held = co_await m_seats.Claim(seat);
-  RecordResult(held.ok());
+  RecordResult(held.status());
   m_pending_claims.erase(seat);
   if (!held.ok())
     co_return;
@@ -253,7 +256,7 @@
 
 asio::awaitable<void> PlatformLink::RunRelease(uint32_t seat) {
   const absl::Status status = co_await m_seats.Release(seat);
-  RecordResult(status.ok());
+  RecordResult(status);
 }
 
 void PlatformLink::FetchUpdate(const std::string& peer_address) {
--- a/libs/entry/src/platform_link.h
+++ b/libs/entry/src/platform_link.h
@@ -6,6 +6,7 @@
 #include <set>
 #include <string>
 
+#include <absl/status/status.h>
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/thread_pool.hpp>
@@ -79,7 +80,7 @@
   boost::asio::awaitable<void> ProcessDelta(ListsDelta delta, std::string peer_address);
   void Fetch(const std::string& peer_address, bool whole);
   void PostDirectory(const DirectoryListing& listing);
-  void RecordResult(bool ok);
+  void RecordResult(const absl::Status& status);
 
   boost::asio::io_context& m_context;
   Engine& m_engine;
--- a/libs/entry/tests/platform_link_test.cc
+++ b/libs/entry/tests/platform_link_test.cc
@@ -9,6 +9,7 @@
 #include <boost/asio/io_context.hpp>
 
 #include "base/error.h"
+#include "captured_output.h"
 #include "core/state_options.h"
 #include "engine.h"
 #include "lists/lists_document.h"
@@ -31,6 +32,10 @@
   co_return MakeError(ErrorKind::kUnreachable, "platform: down", "wait");
 }
 
+boost::asio::awaitable<absl::StatusOr<StoredValue>> AnsweredWithStatus(int status) {
+  co_return MakeError(ErrorKind::kOutcomeUnknown, "platform: HTTP status " + std::to_string(status), "wait");
+}
+
 StoredValue StoredDocument(uint64_t generation, int64_t revision) {
   ListsDocument document;
   document.generation = generation;
@@ -120,6 +125,23 @@
   CHECK(fixture.link.FailureCount() == 1);
 }
 
+// Guards against the failure that a store that answers 429 or 503 looked like one that cannot be reached.
+TEST_CASE("the log line of a store that is lost says with which status it answered") {
+  Fixture fixture;
+  fixture.PollOnce(StoredDocument(3, 10));
+  REQUIRE_CALL(fixture.mock, ReadRevision()).RETURN(AnsweredWithStatus(429));
+  REQUIRE_CALL(fixture.mock, List(_)).RETURN(Ready(DirectoryListing()));
+  std::string log;
+  {
+    const CapturedOutput output;
+    fixture.link.Poll();
+    fixture.Run();
+    log = output.Text();
+  }
+  CHECK(log.find("event=platform_unreachable") != std::string::npos);
+  CHECK(log.find("HTTP status 429") != std::string::npos);
+}
+
 TEST_CASE("a seat lease is counted from the time before its claim was sent") {
   Fixture fixture;
   fixture.PollOnce(StoredDocument(1, 1));
