Parse the time left in one place for both dialects

request_parsing and platform_dialect had the same function with different names of the header. ParseTimeLeft in libs/entry takes the name.

--- a/libs/entry/src/native_dialect.cc
+++ b/libs/entry/src/native_dialect.cc
@@ -2,6 +2,7 @@
 
 #include <string>
 
+#include "entry/time_left.h"
 #include "request_parsing.h"
 #include "upstream_headers.h"
 
@@ -13,7 +14,7 @@
 }  // namespace
 
 absl::StatusOr<Duration> NativeDialect::ReadTimeLeft(const Fields& fields) const {
-  return sassafras::ReadTimeLeft(fields);
+  return ParseTimeLeft(fields, kDeadlineHeader);
 }
 
 std::string_view NativeDialect::RequestId(const Fields& fields) const {
--- a/libs/entry/src/request_parsing.cc
+++ b/libs/entry/src/request_parsing.cc
@@ -1,7 +1,5 @@
 #include "request_parsing.h"
 
-#include <chrono>
-
 #include <fmt/format.h>
 
 #include "base/error.h"
@@ -43,18 +41,6 @@
   return Hash64(body, Hash64(target, Hash64(method)));
 }
 
-absl::StatusOr<Duration> ReadTimeLeft(const http::fields& fields) {
-  const std::string_view text = Text(fields, kDeadlineHeader);
-  if (text.empty())
-    return Duration::max();
-  uint32_t millis = 0;
-  if (!ParseNumber(text, millis)) {
-    return MakeError(ErrorKind::kInvalidValue, fmt::format("{} is not a whole number", kDeadlineHeader),
-                     "send the milliseconds left, such as 250");
-  }
-  return std::chrono::milliseconds(millis);
-}
-
 absl::StatusOr<Idempotency> ReadIdempotency(const http::fields& fields,
                                             std::string_view method,
                                             std::string_view path) {
--- a/libs/entry/src/request_parsing.h
+++ b/libs/entry/src/request_parsing.h
@@ -6,7 +6,6 @@
 
 #include <absl/status/statusor.h>
 
-#include "base/clock.h"
 #include "core/idempotency.h"
 #include "http_types.h"
 
@@ -26,9 +25,6 @@
  */
 uint64_t RequestFingerprint(std::string_view method, std::string_view target, std::string_view body);
 
-/** Reads how long the caller will still wait; Duration::max() without the header. */
-absl::StatusOr<Duration> ReadTimeLeft(const http::fields& fields);
-
 /** Reads the idempotency key and its owner; an error says how to correct the request. */
 absl::StatusOr<Idempotency> ReadIdempotency(const http::fields& fields, std::string_view method, std::string_view path);
 
