--- a/libs/core/src/service_state.h
+++ b/libs/core/src/service_state.h
@@ -19,8 +19,8 @@
   bool active = false;
   std::vector<EndpointHandle> endpoints;
   /**
-   * Calls that probed endpoints without finding a free slot and wait for one, at most kMaxHeldCalls; may hold calls that
-   * wait no longer.
+   * Calls that probed endpoints without finding a free slot and wait for one, at most kMaxHeldCalls; may hold calls
+   * that wait no longer.
    */
   std::vector<CallHandle> held_calls;
   /** One queue per Work value, so that short calls never wait behind long ones. */
