Leaving endpoints: what an answer says is final for the incarnation

What callers would see: an endpoint says in an answer (Server-Leaving) that it goes out of service, and seconds later the same instance sends it requests again, which are cut when it exits.

And with discovery a leaving mark lived only until the next change of any endpoint: ApplyDiscoveredEndpoints set it from the store's entry. It was lost as well when the endpoint was unlisted or moved, when a peer's rumor came before the listing, in a failed probe, and until the end of a long answer. The check right before sending did not see that an endpoint was no longer listed.

EndpointState keeps a mark apart from the entry in the store; it holds until a later incarnation is seen, and EndpointTable keeps it while the endpoint has no table position. An answer counts for the incarnation known when the request was sent. An answer of another endpoint at the address marks nothing. The platform simulation, the endpoint stand-in and the promise checker know the header and check the rule; no endpoint that serves may stay marked.

--- a/libs/core/include/core/event.h
+++ b/libs/core/include/core/event.h
@@ -138,6 +138,15 @@
     /** The answer of a call with an idempotency key; null if too large to keep. */
     std::shared_ptr<const RecordedAnswer> answer;
   };
+  /**
+   * The head of an endpoint's answer says that the endpoint is leaving. It precedes the AttemptEnded of that answer,
+   * whose body may take long.
+   */
+  struct EndpointReported {
+    TimePoint now;
+    EndpointHandle endpoint;
+    LoadReport load;
+  };
   struct ProbeEnded {
     TimePoint now;
     EndpointHandle endpoint;
@@ -185,6 +194,7 @@
                            HedgeDue,
                            ProbeWaitExpired,
                            AttemptEnded,
+                           EndpointReported,
                            ProbeEnded,
                            SeatGranted,
                            SeatRefused,
--- a/libs/core/include/core/load_report.h
+++ b/libs/core/include/core/load_report.h
@@ -6,9 +6,9 @@
 
 /** Load that an endpoint reported with the answer to a request or probe. It may be stale or wrong. */
 struct LoadReport {
-  /** Whether the endpoint reported anything. */
+  /** Whether the endpoint reported its load: `in_flight`, and what else it knows of `slots` and `slowdown`. */
   bool present = false;
-  /** Whether the endpoint reported that it is going out of service. */
+  /** Whether the endpoint reported that it is going out of service; independent of `present`. */
   bool draining = false;
   /** Whether the endpoint reported itself unhealthy; it may be wrong. */
   bool unhealthy = false;
@@ -18,7 +18,10 @@
   uint32_t slots = 0;
   /** Current duration of work at the endpoint relative to its usual duration. */
   float slowdown = 1.0F;
-  /** Identifies the run of the endpoint's process; increases with each restart; 0 if unknown. */
+  /**
+   * Identifies the run of the endpoint's process; increases with each restart; 0 if unknown. If the endpoint does not
+   * report it, the I/O layer sets the one that was known when the request was sent.
+   */
   uint64_t incarnation = 0;
 };
 
--- a/libs/core/include/core/state.h
+++ b/libs/core/include/core/state.h
@@ -57,8 +57,12 @@
   const Endpoint& EndpointConfig(EndpointHandle endpoint) const;
   /** Path of the probe requests to the endpoint. */
   std::string_view ProbePath(EndpointHandle endpoint) const;
-  /** Whether the endpoint must get no new work. */
+  /** Whether the endpoint is known to be leaving. */
   bool IsLeaving(EndpointHandle endpoint) const;
+  /** Whether calls may be sent to the endpoint: it is listed and not leaving. */
+  bool AcceptsCalls(EndpointHandle endpoint) const;
+  /** Newest incarnation seen of the endpoint; 0 if unknown. */
+  uint64_t EndpointIncarnation(EndpointHandle endpoint) const;
   /** Number of positions in the endpoint table, including free ones; handles have lower indexes. */
   size_t EndpointCount() const;
   /** Number of calls from this instance in progress at the endpoint. */
--- a/libs/core/src/attempts.cc
+++ b/libs/core/src/attempts.cc
@@ -148,7 +148,9 @@
   EndpointState& state = parts.At(event.endpoint);
   if (state.in_flight > 0)
     --state.in_flight;
-  LearnFromLoadReport(parts, event.endpoint, event.load, event.now);
+  // Another endpoint at the same address reports nothing about this one.
+  if (!event.wrong_endpoint)
+    LearnFromLoadReport(parts, event.endpoint, event.load, event.now);
   switch (event.result) {
     case AttemptResult::kAnswered:
       state.progress_at = event.now;
@@ -205,6 +207,10 @@
 
 }  // namespace
 
+void OnEndpointReported(StateParts& parts, const Event::EndpointReported& event) {
+  LearnAvailability(parts, event.endpoint, event.load, event.now);
+}
+
 void OnHedgeDue(StateParts& parts, const Event::HedgeDue& event, Effects& effects) {
   CallState* call = parts.calls.Find(event.call);
   if (call == nullptr || call->stage != Stage::kRunning || call->attempts_outstanding != 1)
--- a/libs/core/src/control.cc
+++ b/libs/core/src/control.cc
@@ -229,13 +229,15 @@
     return;
   EndpointState& state = parts.At(endpoint);
   if (status.leaving && !MayBeStale(state, status, now))
-    RecordLeaving(parts, endpoint, status.incarnation, now);
+    RecordLeaving(parts, endpoint, status.incarnation, "directory", now);
   if (status.leaving)
     return;
   RecordAlive(parts, endpoint, status.incarnation, now);
   // A leaving mark without an incarnation came from the directory alone, so the directory may clear it.
-  if (state.leaving && state.leaving_incarnation == 0)
-    state.leaving = false;
+  if (!state.leaving || state.leaving_incarnation != 0)
+    return;
+  state.leaving = false;
+  state.leaving_marked = false;
 }
 
 }  // namespace
@@ -247,8 +249,8 @@
 }
 
 void OnProbeEnded(StateParts& parts, const Event::ProbeEnded& event, Effects& effects) {
-  if (event.answered)
-    LearnFromLoadReport(parts, event.endpoint, event.load, event.now);
+  // A failed health check may still say that the endpoint is leaving.
+  LearnFromLoadReport(parts, event.endpoint, event.load, event.now);
   OnLoadProbeEnded(parts, event, effects);
 }
 
--- a/libs/core/src/endpoint_learning.cc
+++ b/libs/core/src/endpoint_learning.cc
@@ -62,9 +62,7 @@
 
 void LearnFromLoadReport(StateParts& parts, EndpointHandle endpoint, const LoadReport& load, TimePoint now) {
   EndpointState& state = parts.At(endpoint);
-  RecordAlive(parts, endpoint, load.incarnation, now);
-  if (load.draining)
-    RecordLeaving(parts, endpoint, load.incarnation, now);
+  LearnAvailability(parts, endpoint, load, now);
   parts.endpoints.ApplyReport(endpoint, load, now);
   if (!load.present || !state.service.IsValid())
     return;
@@ -73,6 +71,12 @@
   UpdateAverage(parts.At(state.service).other_instances_load, static_cast<float>(others));
 }
 
+void LearnAvailability(StateParts& parts, EndpointHandle endpoint, const LoadReport& load, TimePoint now) {
+  RecordAlive(parts, endpoint, load.incarnation, now);
+  if (load.draining)
+    RecordLeaving(parts, endpoint, load.incarnation, "answer", now);
+}
+
 void RecordAlive(StateParts& parts, EndpointHandle endpoint, uint64_t incarnation, TimePoint now) {
   if (!parts.endpoints.RecordIncarnation(endpoint, incarnation, now))
     return;
@@ -80,10 +84,16 @@
   SpreadRumor(parts, {Kind::kReturned, parts.At(endpoint).name_hash, incarnation, kLeavingRumorLifetime}, now);
 }
 
-void RecordLeaving(StateParts& parts, EndpointHandle endpoint, uint64_t incarnation, TimePoint now) {
+void RecordLeaving(StateParts& parts,
+                   EndpointHandle endpoint,
+                   uint64_t incarnation,
+                   const char* source,
+                   TimePoint now) {
   if (!parts.endpoints.MarkLeaving(endpoint, incarnation))
     return;
   const EndpointState& state = parts.At(endpoint);
+  parts.log_records.push_back(
+      {LogRecord::Kind::kEndpointLeaving, parts.endpoints.Listing(endpoint).name, 0, {}, source});
   using Kind = GossipMessage::Rumor::Kind;
   SpreadRumor(parts, {Kind::kLeaving, state.name_hash, state.leaving_incarnation, kLeavingRumorLifetime}, now);
 }
--- a/libs/core/src/endpoint_learning.h
+++ b/libs/core/src/endpoint_learning.h
@@ -28,14 +28,17 @@
 /** Returns the endpoint's latency relative to its service; the learned value decays towards 1 with time. */
 float RelativeLatencyAt(const EndpointState& state, TimePoint now);
 
-/** Applies a load report of an endpoint, including the incarnation and draining flag in it. */
+/** Applies the part of a load report that decides whether the endpoint gets calls: incarnation and draining flag. */
+void LearnAvailability(StateParts& parts, EndpointHandle endpoint, const LoadReport& load, TimePoint now);
+
+/** Applies a load report of an endpoint, including the part that LearnAvailability() applies. */
 void LearnFromLoadReport(StateParts& parts, EndpointHandle endpoint, const LoadReport& load, TimePoint now);
 
 /** Records that an incarnation of an endpoint is alive, and tells peers if a leaving endpoint has returned. */
 void RecordAlive(StateParts& parts, EndpointHandle endpoint, uint64_t incarnation, TimePoint now);
 
-/** Records that an incarnation of an endpoint is leaving, and tells peers if that is new. */
-void RecordLeaving(StateParts& parts, EndpointHandle endpoint, uint64_t incarnation, TimePoint now);
+/** Records that an incarnation of an endpoint is leaving; if that is new, logs its `source` and tells peers. */
+void RecordLeaving(StateParts& parts, EndpointHandle endpoint, uint64_t incarnation, const char* source, TimePoint now);
 
 /** Logs that a request that crashes endpoints is quarantined. */
 void LogQuarantined(StateParts& parts, uint64_t fingerprint, std::chrono::milliseconds lifetime, const char* source);
--- a/libs/core/src/endpoint_state.h
+++ b/libs/core/src/endpoint_state.h
@@ -32,7 +32,10 @@
   TimePoint inactive_since{};
   /** Whether the endpoint is listed: in the lists, or with discovery in the platform's store. */
   bool active = false;
+  /** Whether the endpoint is leaving, by a mark or by its current entry in the platform's store. */
   bool leaving = false;
+  /** Whether `leaving_incarnation` was marked as leaving. The mark holds until a later incarnation is seen. */
+  bool leaving_marked = false;
   /** Whether calls with long work may be sent here. */
   bool accepts_long_work = false;
   bool same_failure_domain = false;
@@ -49,6 +52,9 @@
   /** Newest incarnation seen, and the newest one known to be leaving. */
   uint64_t incarnation = 0;
   uint64_t leaving_incarnation = 0;
+
+  /** Whether the newest incarnation was marked as leaving. */
+  bool HasLeavingMark() const { return leaving_marked && leaving_incarnation >= incarnation; }
 };
 
 }  // namespace sassafras
--- a/libs/core/src/endpoint_table.cc
+++ b/libs/core/src/endpoint_table.cc
@@ -10,6 +10,8 @@
 
 /** Time for which the table position of an endpoint that is no longer listed is not reused. */
 constexpr std::chrono::seconds kReclaimDelay{30};
+/** Time for which the leaving mark of an endpoint without a table position is kept. */
+constexpr std::chrono::minutes kLeavingMarkRetention{10};
 
 }  // namespace
 
@@ -20,6 +22,7 @@
   const bool moved = handle.IsValid() && Listing(handle).address != listing.address;
   if (moved) {
     m_by_hash.erase(name_hash);
+    KeepLeavingMark(m_states[handle.Index()], now);
     m_states[handle.Index()].name_hash = 0;
     handle = EndpointHandle();
   }
@@ -62,11 +65,37 @@
     // Calls that have recently probed or tried the endpoint still hold its handle.
     if (!retired || now - state.inactive_since < kReclaimDelay)
       continue;
-    if (state.name_hash != 0)
+    if (state.name_hash != 0) {
       m_by_hash.erase(state.name_hash);
+      KeepLeavingMark(state, now);
+    }
     state = EndpointState();
     m_free.emplace_back(index);
   }
+  absl::erase_if(m_unlisted_leaving,
+                 [now](const auto& entry) { return now - entry.second.recorded_at >= kLeavingMarkRetention; });
+}
+
+void EndpointTable::MarkUnlistedLeaving(uint64_t name_hash, uint64_t incarnation, TimePoint now) {
+  UnlistedLeaving& mark = m_unlisted_leaving[name_hash];
+  if (incarnation < mark.incarnation)
+    return;
+  mark.incarnation = incarnation;
+  mark.recorded_at = now;
+}
+
+void EndpointTable::KeepLeavingMark(const EndpointState& state, TimePoint now) {
+  // A mark without an incarnation cannot be told from one of the endpoint's next process.
+  if (state.HasLeavingMark() && state.leaving_incarnation != 0)
+    MarkUnlistedLeaving(state.name_hash, state.leaving_incarnation, now);
+}
+
+void EndpointTable::RestoreLeavingMark(EndpointHandle handle) {
+  const auto found = m_unlisted_leaving.find(m_states[handle.Index()].name_hash);
+  if (found == m_unlisted_leaving.end())
+    return;
+  MarkLeaving(handle, found->second.incarnation);
+  m_unlisted_leaving.erase(found);
 }
 
 EndpointHandle EndpointTable::FindByHash(uint64_t name_hash) const {
@@ -81,6 +110,7 @@
     return false;
   const bool is_new = !state.leaving || leaving > state.leaving_incarnation;
   state.leaving = true;
+  state.leaving_marked = true;
   state.leaving_incarnation = std::max(state.leaving_incarnation, leaving);
   state.incarnation = std::max(state.incarnation, leaving);
   return is_new;
@@ -97,6 +127,7 @@
     return false;
   const bool was_leaving = state.leaving;
   state.leaving = false;
+  state.leaving_marked = false;
   state.ramp_start = now;
   state.consecutive_failures = 0;
   state.ejected_until = {};
--- a/libs/core/src/endpoint_table.h
+++ b/libs/core/src/endpoint_table.h
@@ -40,6 +40,10 @@
    * @return whether this was not known before
    */
   bool MarkLeaving(EndpointHandle handle, uint64_t incarnation);
+  /** Records that `incarnation`, which is not 0, of an endpoint that is not listed is leaving. */
+  void MarkUnlistedLeaving(uint64_t name_hash, uint64_t incarnation, TimePoint now);
+  /** Marks an endpoint that was listed again as leaving if that was known of it before. */
+  void RestoreLeavingMark(EndpointHandle handle);
   /**
    * Records that `incarnation` is alive. A restarted endpoint is no longer leaving and starts with a ramp; an
    * incarnation that is already known changes nothing.
@@ -51,10 +55,20 @@
   void ApplyReport(EndpointHandle handle, const LoadReport& report, TimePoint now);
 
  private:
+  /** The newest incarnation known to be leaving of an endpoint that has no position in the table. */
+  struct UnlistedLeaving {
+    uint64_t incarnation = 0;
+    TimePoint recorded_at{};
+  };
+
+  /** Keeps the leaving mark of an endpoint that loses its position in the table. */
+  void KeepLeavingMark(const EndpointState& state, TimePoint now);
+
   std::vector<EndpointState> m_states;
   std::vector<Endpoint> m_listings;
   std::vector<EndpointHandle> m_free;
   absl::flat_hash_map<uint64_t, EndpointHandle> m_by_hash;
+  absl::flat_hash_map<uint64_t, UnlistedLeaving> m_unlisted_leaving;
 };
 
 }  // namespace sassafras
--- a/libs/core/src/gossip.cc
+++ b/libs/core/src/gossip.cc
@@ -224,6 +224,8 @@
       const EndpointHandle endpoint = parts.endpoints.FindByHash(rumor.subject);
       if (endpoint.IsValid())
         parts.endpoints.MarkLeaving(endpoint, rumor.detail);
+      else if (rumor.detail != 0)
+        parts.endpoints.MarkUnlistedLeaving(rumor.subject, rumor.detail, now);
       break;
     }
     case Kind::kReturned: {
--- a/libs/core/src/lists_apply.cc
+++ b/libs/core/src/lists_apply.cc
@@ -265,9 +265,13 @@
       continue;
     const EndpointHandle handle = parts.endpoints.Upsert(known.change.row, service, now, ramp);
     EndpointState& state = parts.At(handle);
+    parts.endpoints.RestoreLeavingMark(handle);
     parts.endpoints.RecordIncarnation(handle, known.change.incarnation, now);
-    // The latest entry in the store overrides any earlier one.
-    state.leaving = known.change.kind == EndpointChange::Kind::kLeaving;
+    const bool listed_leaving = known.change.kind == EndpointChange::Kind::kLeaving;
+    if (listed_leaving)
+      parts.endpoints.MarkLeaving(handle, known.change.incarnation);
+    // The entry does not withdraw a mark: answers of the endpoint may have said before the store that it leaves.
+    state.leaving = listed_leaving || state.HasLeavingMark();
     state.warmup_until = known.warmup_until;
     state.same_failure_domain = known.change.row.failure_domain == parts.self.failure_domain;
     state.connection_limit = ConnectionShare(parts, parts.At(service).config.connections);
--- a/libs/core/src/state.cc
+++ b/libs/core/src/state.cc
@@ -86,6 +86,15 @@
   return m_parts->At(endpoint).leaving;
 }
 
+bool State::AcceptsCalls(EndpointHandle endpoint) const {
+  const EndpointState& state = m_parts->At(endpoint);
+  return state.active && !state.leaving;
+}
+
+uint64_t State::EndpointIncarnation(EndpointHandle endpoint) const {
+  return m_parts->At(endpoint).incarnation;
+}
+
 size_t State::EndpointCount() const {
   return m_parts->endpoints.Size();
 }
--- a/libs/core/tests/fleet_fuzz_test.cc
+++ b/libs/core/tests/fleet_fuzz_test.cc
@@ -128,6 +128,10 @@
   void Act(PlatformFleetSimulation& simulation) const override { simulation.Drain(Address()); }
 };
 
+struct LeaveWithoutNotice : Step {
+  void Act(PlatformFleetSimulation& simulation) const override { simulation.LeaveWithoutNotice(Address()); }
+};
+
 struct CrashEndpoint : Step {
   void Act(PlatformFleetSimulation& simulation) const override { simulation.Crash(Address()); }
 };
@@ -168,14 +172,14 @@
   const bool passed = rc::check("no guarantee is violated on the platform", [&digest] {
     const auto seed = *rc::gen::inRange<uint64_t>(1, 1'000'000);
     auto simulation = std::make_unique<PlatformFleetSimulation>(seed);
-    rc::state::check(
-        Model(), *simulation,
-        rc::state::gen::execOneOfWithArgs<
-            SendCalls, SendCalls, SendCalls, SendCalls, DisconnectCaller, PauseInstance, ResumeInstance, ResumeInstance,
-            KillInstance, RestartInstance, RestartInstance, RestartAllInstances, StopInstance, IsolateInstance,
-            ChangeStoreMode, ChangeStoreMode, TakeStoreDown, BringStoreUp, BringStoreUp, ChangeReadLag,
-            CompactStoreHistory, MoveRoute, MoveRoute, DrainEndpoint, CrashEndpoint, StartEndpoint, StartEndpoint,
-            RestartEndpoint, WriteDamagedEntry, LoseAnswers, ChangeGossipDropRate, LongDelay, LongDelay>());
+    rc::state::check(Model(), *simulation,
+                     rc::state::gen::execOneOfWithArgs<
+                         SendCalls, SendCalls, SendCalls, SendCalls, DisconnectCaller, PauseInstance, ResumeInstance,
+                         ResumeInstance, KillInstance, RestartInstance, RestartInstance, RestartAllInstances,
+                         StopInstance, IsolateInstance, ChangeStoreMode, ChangeStoreMode, TakeStoreDown, BringStoreUp,
+                         BringStoreUp, ChangeReadLag, CompactStoreHistory, MoveRoute, MoveRoute, DrainEndpoint,
+                         LeaveWithoutNotice, CrashEndpoint, StartEndpoint, StartEndpoint, RestartEndpoint,
+                         WriteDamagedEntry, LoseAnswers, ChangeGossipDropRate, LongDelay, LongDelay>());
     simulation->RecoverAndCheck();
     digest = HashCombine(digest, simulation->EffectsHash());
     RC_ASSERT(simulation->FirstViolation() == std::string());
@@ -235,6 +239,49 @@
   }
 }
 
+// Guards against forgetting, at a change of any endpoint, what an answer said.
+TEST_CASE("an endpoint that tells only its callers that it leaves gets nothing more while other endpoints change") {
+  for (uint64_t seed = 50; seed < 60; ++seed) {
+    CAPTURE(seed);
+    PlatformFleetSimulation simulation(seed);
+    simulation.LeaveWithoutNotice(0);
+    SendFor(simulation, Millis(1'500));
+    simulation.Drain(2);
+    SendFor(simulation, Millis(1'500));
+    simulation.StartEndpoint(6, false);
+    SendFor(simulation, Millis(2'500));
+    CheckGuarantees(simulation);
+  }
+}
+
+// Guards against forgetting the leaving mark while the entry of the endpoint is missing in the store.
+TEST_CASE("an endpoint that said that it leaves gets nothing when its expired entry is written back") {
+  for (uint64_t seed = 60; seed < 70; ++seed) {
+    CAPTURE(seed);
+    PlatformFleetSimulation simulation(seed);
+    simulation.TakeStoreDown(StoreMode::kRefuses, true);
+    SendFor(simulation, Millis(3'000));
+    simulation.LeaveWithoutNotice(0);
+    SendFor(simulation, Millis(2'000));
+    simulation.BringStoreUp();
+    SendFor(simulation, Millis(4'000));
+    CheckGuarantees(simulation);
+  }
+}
+
+// Guards against excluding an endpoint that restarts after its previous process told callers that it leaves.
+TEST_CASE("an endpoint that restarts while it is leaving is used again by every instance") {
+  for (uint64_t seed = 70; seed < 80; ++seed) {
+    CAPTURE(seed);
+    PlatformFleetSimulation simulation(seed);
+    simulation.LeaveWithoutNotice(0);
+    SendFor(simulation, Millis(1'000));
+    simulation.RestartEndpoint(0);
+    SendFor(simulation, Millis(2'000));
+    CheckGuarantees(simulation);
+  }
+}
+
 TEST_CASE("instances whose requests the store refuses or ignores still learn of plan and endpoint changes") {
   PlatformFleetSimulation simulation(3);
   simulation.SetStoreMode(0, StoreMode::kRefuses);
--- a/libs/core/tests/platform_fleet_simulation.cc
+++ b/libs/core/tests/platform_fleet_simulation.cc
@@ -27,6 +27,8 @@
 constexpr Millis kMaxEntryReturnDelay{1'500};
 /** Time for which a draining endpoint keeps serving. */
 constexpr Millis kDrainDuration{2'600};
+/** Time for which an endpoint keeps serving that tells only its callers that it is leaving. */
+constexpr Millis kSilentLeaveDuration{4'000};
 
 }  // namespace
 
@@ -162,6 +164,7 @@
 
 void PlatformFleetSimulation::Pause(size_t instance) {
   m_instances[instance].paused = true;
+  ForgetToldLeaving(instance);
   MarkDisturbed(instance);
 }
 
@@ -182,6 +185,7 @@
     if (call.instance == index && call.incarnation == instance.incarnation)
       call.completed = true;
   }
+  ForgetToldLeaving(index);
   instance.state.reset();
   instance.paused = false;
   instance.deferred_events.clear();
@@ -266,6 +270,7 @@
   if (!endpoint.up || endpoint.draining || m_store_down)
     return;
   endpoint.draining = true;
+  endpoint.says_leaving = true;
   endpoint.leave_acknowledged_at = m_now;
   PutEntry(address);
   RunAfter(kDrainDuration, [this, address, name = endpoint.name] {
@@ -278,6 +283,30 @@
   });
 }
 
+void PlatformFleetSimulation::LeaveWithoutNotice(size_t address) {
+  FakeEndpoint& endpoint = m_endpoints[address];
+  if (!endpoint.up || endpoint.says_leaving)
+    return;
+  endpoint.says_leaving = true;
+  endpoint.tells_probes = false;
+  RunAfter(kSilentLeaveDuration, [this, address, incarnation = endpoint.incarnation] {
+    if (m_endpoints[address].incarnation == incarnation)
+      Crash(address);
+  });
+}
+
+void PlatformFleetSimulation::RecordToldLeaving(size_t address, uint64_t incarnation, size_t instance) {
+  FakeEndpoint& endpoint = m_endpoints[address];
+  std::optional<TimePoint>& told_at = endpoint.told_leaving_at[instance];
+  if (endpoint.incarnation == incarnation && !told_at.has_value())
+    told_at = m_now;
+}
+
+void PlatformFleetSimulation::ForgetToldLeaving(size_t instance) {
+  for (FakeEndpoint& endpoint : m_endpoints)
+    endpoint.told_leaving_at[instance].reset();
+}
+
 void PlatformFleetSimulation::Crash(size_t address) {
   FakeEndpoint& endpoint = m_endpoints[address];
   if (!endpoint.up)
@@ -305,6 +334,9 @@
     return;
   endpoint.incarnation = ++m_last_incarnation;
   endpoint.requests_running = 0;
+  endpoint.says_leaving = false;
+  endpoint.tells_probes = true;
+  endpoint.told_leaving_at = {};
   PutEntry(address);
 }
 
@@ -352,6 +384,23 @@
   if (notice_overdue && IsUndisturbed(call.instance))
     ReportViolation(
         fmt::format("{} received a call from i{} too long after it began to leave", endpoint.name, call.instance));
+  const std::optional<TimePoint>& told_at = endpoint.told_leaving_at[call.instance];
+  const bool same_process = m_instances[call.instance].incarnation == call.incarnation;
+  if (told_at.has_value() && same_process && call.sent_at > *told_at + kMaxLeavingNoticeDelay)
+    ReportViolation(
+        fmt::format("{} received a call from i{} long after it told it that it leaves", endpoint.name, call.instance));
+}
+
+void PlatformFleetSimulation::CheckNoFalseLeavingMarks(size_t index) {
+  const State& state = *m_instances[index].state;
+  for (uint32_t position = 0; position < state.EndpointCount(); ++position) {
+    const EndpointHandle handle(position);
+    for (const FakeEndpoint& endpoint : m_endpoints) {
+      const bool serving = endpoint.up && !endpoint.says_leaving && !endpoint.draining;
+      if (serving && endpoint.name == state.EndpointConfig(handle).name && state.IsLeaving(handle))
+        ReportViolation(fmt::format("i{} takes {} for leaving, but it serves", index, endpoint.name));
+    }
+  }
 }
 
 void PlatformFleetSimulation::CheckGenerations() {
@@ -393,6 +442,7 @@
                                   m_store.Latest().generation));
     if (instance.state->CallsInProgress() > 0)
       ReportViolation(fmt::format("i{} has calls in progress that never ended", i));
+    CheckNoFalseLeavingMarks(i);
     std::map<std::string, bool> known;
     for (const EndpointChange& endpoint : instance.state->KnownEndpoints())
       known[endpoint.row.name] = endpoint.kind == EndpointChange::Kind::kLeaving;
--- a/libs/core/tests/platform_fleet_simulation.h
+++ b/libs/core/tests/platform_fleet_simulation.h
@@ -70,6 +70,11 @@
   void MoveRoute();
   /** Makes the endpoint at the address announce that it is leaving; it serves for kDrainDuration and exits. */
   void Drain(size_t address);
+  /**
+   * Makes the endpoint at the address say in its answers to calls that it is leaving, without a word to the store or to
+   * probes; it serves for kSilentLeaveDuration and exits.
+   */
+  void LeaveWithoutNotice(size_t address);
   /** Ends the endpoint at once; its entry stays in the store until its lease expires. */
   void Crash(size_t address);
   /** Starts a new endpoint at a free address, for service "s" or the other service "t". */
@@ -124,11 +129,16 @@
     bool other_service = false;
     bool up = false;
     bool draining = false;
+    /** Whether its answers say that it is leaving, and whether those to probes do too. */
+    bool says_leaving = false;
+    bool tells_probes = true;
     bool loses_answers = false;
     uint64_t incarnation = 0;
     size_t requests_running = 0;
     /** When the store acknowledged that the endpoint is leaving. */
     std::optional<TimePoint> leave_acknowledged_at;
+    /** When each instance was first told by an answer that the endpoint is leaving; reset if it restarts or pauses. */
+    std::array<std::optional<TimePoint>, kInstances> told_leaving_at;
     /** When another endpoint may start at the address. */
     TimePoint reusable_at{};
   };
@@ -193,13 +203,20 @@
                      size_t call,
                      size_t instance,
                      const Effect::Dispatch& dispatch,
-                     const std::string& name);
+                     const std::string& name,
+                     uint64_t known_incarnation);
   void DeliverAttemptEnd(size_t instance,
                          size_t call,
                          const Effect::Dispatch& dispatch,
                          AttemptResult result,
-                         bool is_wrong_endpoint);
+                         bool is_wrong_endpoint,
+                         const LoadReport& load);
   LoadReport MakeLoadReport(const FakeEndpoint& endpoint) const;
+  /** Records that an answer of this incarnation of the endpoint told the instance that the endpoint is leaving. */
+  void RecordToldLeaving(size_t address, uint64_t incarnation, size_t instance);
+  /** Excuses the instance from what answers told it before, because it restarts or pauses. */
+  void ForgetToldLeaving(size_t instance);
+  void CheckNoFalseLeavingMarks(size_t instance);
   void CheckRun(const FakeEndpoint& endpoint, const CallRecord& call);
   void CheckGenerations();
   void ReportViolation(const std::string& what);
--- a/libs/core/tests/platform_fleet_simulation_effects.cc
+++ b/libs/core/tests/platform_fleet_simulation_effects.cc
@@ -293,19 +293,25 @@
   load.present = true;
   load.in_flight = static_cast<uint32_t>(endpoint.requests_running);
   load.slots = kEndpointSlots;
+  load.draining = endpoint.says_leaving && endpoint.tells_probes;
   return load;
 }
 
 void PlatformFleetSimulation::HandleEffect(size_t index, const Effect::SendProbe& effect) {
   const uint64_t incarnation = m_instances[index].incarnation;
   const Endpoint row = m_instances[index].state->EndpointConfig(effect.endpoint);
+  const uint64_t known_incarnation = m_instances[index].state->EndpointIncarnation(effect.endpoint);
   const auto address = static_cast<size_t>(row.address.back() - '0');
   RunAfter(NetworkDelay(), [=, this] {
     const FakeEndpoint& endpoint = m_endpoints[address];
     const bool answered = endpoint.up && endpoint.name == row.name;
-    const LoadReport load = answered ? MakeLoadReport(endpoint) : LoadReport();
+    LoadReport load = answered ? MakeLoadReport(endpoint) : LoadReport();
+    load.incarnation = known_incarnation;
+    const uint64_t answering = endpoint.incarnation;
     RunAfter(NetworkDelay(), [=, this] {
       DeliverEvent(index, incarnation, [=, this]() -> Event::Any {
+        if (load.draining)
+          RecordToldLeaving(address, answering, index);
         return Event::ProbeEnded{m_now, effect.endpoint, answered, load, effect.call};
       });
     });
@@ -327,7 +333,8 @@
   const Endpoint row = m_instances[index].state->EndpointConfig(dispatch.endpoint);
   const auto address = static_cast<size_t>(row.address.back() - '0');
   const uint64_t incarnation = m_instances[index].incarnation;
-  RunAfter(NetworkDelay(), [=, this] { HandleRequest(address, number, index, dispatch, row.name); });
+  const uint64_t known_incarnation = m_instances[index].state->EndpointIncarnation(dispatch.endpoint);
+  RunAfter(NetworkDelay(), [=, this] { HandleRequest(address, number, index, dispatch, row.name, known_incarnation); });
   if (dispatch.hedge_at == TimePoint::max())
     return;
   RunAfter(std::max(Duration::zero(), dispatch.hedge_at - m_now), [=, this] {
@@ -339,15 +346,25 @@
                                             size_t number,
                                             size_t index,
                                             const Effect::Dispatch& dispatch,
-                                            const std::string& name) {
+                                            const std::string& name,
+                                            uint64_t known_incarnation) {
   FakeEndpoint& endpoint = m_endpoints[address];
   CallRecord& call = m_calls[number];
   // The I/O layer reports the end of an attempt once, whatever comes first.
   const auto has_ended = std::make_shared<bool>(false);
   const auto end_attempt = [=, this](AttemptResult result, bool is_wrong_endpoint) {
+    const FakeEndpoint& answering = m_endpoints[address];
+    const bool has_answer = result == AttemptResult::kAnswered || result == AttemptResult::kRefused;
+    LoadReport load;
+    load.draining = has_answer && answering.says_leaving;
+    load.incarnation = known_incarnation;
+    const uint64_t answering_incarnation = answering.incarnation;
     RunAfter(NetworkDelay(), [=, this] {
-      if (!std::exchange(*has_ended, true))
-        DeliverAttemptEnd(index, number, dispatch, result, is_wrong_endpoint);
+      if (std::exchange(*has_ended, true))
+        return;
+      DeliverAttemptEnd(index, number, dispatch, result, is_wrong_endpoint, load);
+      if (load.draining && !is_wrong_endpoint && !m_instances[index].paused)
+        RecordToldLeaving(address, answering_incarnation, index);
     });
   };
   if (!endpoint.up) {
@@ -380,7 +397,7 @@
   });
   RunAfter(std::max(Duration::zero(), dispatch.deadline - m_now), [=, this] {
     if (!std::exchange(*has_ended, true))
-      DeliverAttemptEnd(index, number, dispatch, AttemptResult::kTimedOut, false);
+      DeliverAttemptEnd(index, number, dispatch, AttemptResult::kTimedOut, false, LoadReport());
   });
 }
 
@@ -388,7 +405,8 @@
                                                 size_t number,
                                                 const Effect::Dispatch& dispatch,
                                                 AttemptResult result,
-                                                bool is_wrong_endpoint) {
+                                                bool is_wrong_endpoint,
+                                                const LoadReport& load) {
   const uint64_t incarnation = m_calls[number].incarnation;
   DeliverEvent(index, incarnation, [=, this]() -> Event::Any {
     CallRecord& call = m_calls[number];
@@ -398,6 +416,7 @@
     event.endpoint = dispatch.endpoint;
     event.result = result;
     event.wrong_endpoint = is_wrong_endpoint;
+    event.load = load;
     if (result == AttemptResult::kAnswered && !call.completed) {
       call.completed = true;
       call.answered = true;
--- a/libs/entry/src/attempt.cc
+++ b/libs/entry/src/attempt.cc
@@ -83,7 +83,7 @@
   if (!connected)
     co_return AttemptResult::kNotSent;
   // Checked right before sending: the process may have been paused, or the endpoint may have begun to leave.
-  if (m_engine.Now() >= m_target.deadline || m_engine.GetState().IsLeaving(m_target.endpoint))
+  if (m_engine.Now() >= m_target.deadline || !m_engine.GetState().AcceptsCalls(m_target.endpoint))
     co_return AttemptResult::kWithdrawn;
   m_connection->stream.expires_at(m_target.deadline);
   const error_code send_error = co_await SendRequest();
@@ -96,7 +96,7 @@
     co_return ResultForError(head_error);
   m_response_head_at = m_engine.Now();
   const auto& head = m_response->get();
-  m_end_event.load = m_dialect.ReadLoad(head);
+  ReadLoad(kind);
   m_end_event.failure_status = head.result_int() >= kFirstServerErrorStatus;
   if (kind == ResponseKind::kRefusal || kind == ResponseKind::kWrongEndpoint) {
     const error_code discard_error = co_await DiscardResponseBody();
@@ -231,6 +231,15 @@
   co_return error;
 }
 
+void Attempt::ReadLoad(ResponseKind kind) {
+  LoadReport& load = m_end_event.load;
+  load = m_dialect.ReadLoad(m_response->get());
+  if (load.incarnation == 0)
+    load.incarnation = m_target.incarnation;
+  if (load.draining && kind != ResponseKind::kWrongEndpoint)
+    m_engine.Post(Event::EndpointReported{m_engine.Now(), m_target.endpoint, load});
+}
+
 AttemptResult Attempt::ResultForError(const error_code& error) const {
   if (m_cancelled)
     return AttemptResult::kCancelled;
--- a/libs/entry/src/attempt.h
+++ b/libs/entry/src/attempt.h
@@ -43,6 +43,8 @@
   asio::awaitable<AttemptResult> RelayResponse();
   asio::awaitable<AttemptResult> RelayRemainingBody(http::response<http::buffer_body>& answer);
   asio::awaitable<void> WriteToCaller(http::response_serializer<http::buffer_body>& serializer);
+  /** Reads the load report in the response head, and passes on at once that the endpoint is leaving. */
+  void ReadLoad(ResponseKind kind);
   AttemptResult ResultForError(const error_code& error) const;
   void ReturnConnectionIfReusable();
   void StartRecording(const http::response<http::buffer_body>& answer);
--- a/libs/entry/src/attempt_target.h
+++ b/libs/entry/src/attempt_target.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <chrono>
+#include <cstdint>
 #include <string>
 
 #include "base/clock.h"
@@ -14,6 +15,8 @@
   /** Name of the endpoint in the lists. */
   std::string name;
   std::string address;
+  /** Incarnation of the endpoint that was known when the attempt was dispatched; 0 if unknown. */
+  uint64_t incarnation = 0;
   TimePoint deadline;
   std::chrono::milliseconds connect_timeout{};
   /** Whether the response is recorded for later requests with the same idempotency key. */
--- a/libs/entry/src/call_exchange.cc
+++ b/libs/entry/src/call_exchange.cc
@@ -128,6 +128,7 @@
   target.endpoint = dispatch.endpoint;
   target.address = m_engine.GetState().EndpointConfig(dispatch.endpoint).address;
   target.name = m_engine.GetState().EndpointConfig(dispatch.endpoint).name;
+  target.incarnation = m_engine.GetState().EndpointIncarnation(dispatch.endpoint);
   target.deadline = dispatch.deadline;
   m_log.AddAttempt(target.name, dispatch.basis);
   target.connect_timeout = m_connect_timeout;
--- a/libs/entry/src/prober.cc
+++ b/libs/entry/src/prober.cc
@@ -36,6 +36,8 @@
 
 asio::awaitable<void> Prober::Run(Effect::SendProbe probe, std::string name, std::string address, std::string path) {
   Event::ProbeEnded ended;
+  // The incarnation known now: the endpoint may have restarted when an answer arrives.
+  const uint64_t incarnation = m_engine.GetState().EndpointIncarnation(probe.endpoint);
   ended.endpoint = probe.endpoint;
   ended.call = probe.call;
   bool reused = false;
@@ -43,6 +45,8 @@
   // Retries: the endpoint may have closed the idle connection, which says nothing about its health.
   if (error && error != beast::error::timeout && reused)
     error = co_await SendAndReceive(name, address, path, probe.not_after, reused, ended);
+  if (ended.load.incarnation == 0)
+    ended.load.incarnation = incarnation;
   ended.now = m_engine.Now();
   m_engine.Post(ended);
 }
--- a/tests/platform/endpoint_standin.py
+++ b/tests/platform/endpoint_standin.py
@@ -15,13 +15,14 @@
     `runs` is shared by all endpoints; a Run is appended for each request that an endpoint begins to execute.
     Injected faults: `slowdown` multiplies the processing time, `drop_probability` is the probability that the
     connection is reset instead of answered, `damage` names the way in which some answers are damaged.
+    With `says_leaving` its answers say that it is leaving, whatever it reports to the store.
     """
 
     def __init__(self, name, service, port, zone, runs, seed, slots=4):
         self.name, self.service, self.port, self.zone, self.slots = name, service, port, zone, slots
         self.runs, self.running, self.waiting = runs, 0, 0
         self.slowdown, self.drop_probability, self.damage = 1.0, 0.0, ""
-        self.draining = False
+        self.draining, self.says_leaving = False, False
         self.born = int(time.time() * 1000)
         self._random = random.Random(seed)
         self._slots = asyncio.Semaphore(slots)
@@ -42,23 +43,26 @@
                 "capacity": self.slots, "state": "draining" if self.draining else "ready", "warmupLeftS": 0,
                 "sequence": sequence, "born": self.born}
 
-    def _load_fields(self):
-        return {"Sassafraspath-Server-Load": f"{self.running},{self.waiting},{self.slots},{int(self.slowdown * 100)}"}
+    def _state_fields(self):
+        fields = {"Sassafraspath-Server-Load": f"{self.running},{self.waiting},{self.slots},{int(self.slowdown * 100)}"}
+        if self.draining or self.says_leaving:
+            fields["Server-Leaving"] = "1"
+        return fields
 
     async def _serve(self, reader, writer):
         while True:
             request = await read_message(reader)
             if request.start_line[1] == "/health":
-                status = 503 if self.draining else 200
+                status = 503 if self.draining or self.says_leaving else 200
                 writer.write(encode_answer(status, b"",
-                                           {"Sassafraspath-Instance-Id": self.name, **self._load_fields()}))
+                                           {"Sassafraspath-Instance-Id": self.name, **self._state_fields()}))
             else:
                 await self._handle_request(request, writer)
             await writer.drain()
 
     def _encode_refusal(self, request, status):
         fields = {"Sassafraspath-Not-Executed": "1", "Sassafraspath-Request-Id": request.headers.get(
-            "sassafraspath-request-id", ""), **self._load_fields()}
+            "sassafraspath-request-id", ""), **self._state_fields()}
         return encode_answer(status, b"", fields)
 
     async def _handle_request(self, request, writer):
@@ -90,8 +94,8 @@
         body = f"{request_id} {run.response_seal} {request.start_line[1]} ".encode() + b"x" * self._random.randrange(2000)
         run.body = body
         fields = {"Sassafraspath-Request-Id": request_id, "Sassafraspath-Response-Seal": run.response_seal,
-                  **self._load_fields()}
-        if self.draining:
+                  **self._state_fields()}
+        if self.draining or self.says_leaving:
             fields["Connection"] = "close"
         answer = encode_answer(200, body, fields)
         if self.damage and self._random.random() < 0.2:
--- a/tests/platform/promises.py
+++ b/tests/platform/promises.py
@@ -29,10 +29,33 @@
             violations += self._check_runs(attempts_by_id[request_id], request_runs)
         for request_id, attempt in attempts_by_id.items():
             violations += self._check_answer(attempt, runs.get(request_id, []))
+        violations += self._check_told_leaving(runs)
         return violations
 
+    def _entry_of(self, attempt):
+        return next(entry for entry in self.fleet.entries if entry.port == attempt.entry_port)
+
+    def _check_told_leaving(self, runs):
+        """An instance that passed on an answer of a leaving endpoint sends that endpoint nothing more soon after."""
+        told_at = {}
+        for attempt in self.callers.attempts:
+            if attempt.answer is None or attempt.answer.headers.get("server-leaving") != "1":
+                continue
+            for run in runs.get(attempt.request_id, []):
+                if run.response_seal == attempt.answer.headers.get("sassafraspath-response-seal"):
+                    key = (attempt.entry_port, run.endpoint)
+                    told_at[key] = min(told_at.get(key, attempt.ended_at), attempt.ended_at)
+        for attempt in self.callers.attempts:
+            for run in runs.get(attempt.request_id, []):
+                since = told_at.get((attempt.entry_port, run.endpoint))
+                late = since is not None and attempt.sent_at > since + DRAIN_PROPAGATION_S + MAX_HARNESS_DELAY_S
+                # A fault of the store is no excuse here: the instance was told by the endpoint itself.
+                if late and self._entry_of(attempt).was_undisturbed(since, run.arrived_at):
+                    yield (f"{attempt.request_id}: sent to {run.endpoint} {attempt.sent_at - since:.1f} s after an answer "
+                           "said that it leaves")
+
     def _was_undisturbed(self, attempt, until):
-        entry = next(entry for entry in self.fleet.entries if entry.port == attempt.entry_port)
+        entry = self._entry_of(attempt)
         store_undisturbed = all(end < attempt.sent_at - UNDISTURBED_S or since > until
                                 for since, end in self.fleet.store_disturbances)
         return store_undisturbed and entry.was_undisturbed(attempt.sent_at - UNDISTURBED_S, until)
@@ -79,7 +102,7 @@
         """Without a fault, a request that its endpoint answers must not be cut, not even by a planned stop."""
         if attempt.error not in ("cut", "deadline") or not request_runs or attempt.ended_at is None:
             return
-        entry = next(entry for entry in self.fleet.entries if entry.port == attempt.entry_port)
+        entry = self._entry_of(attempt)
         endpoint_gone = any(run.endpoint not in self.fleet.endpoints for run in request_runs)
         completed = all(run.body for run in request_runs) and not endpoint_gone
         if completed and self._was_undisturbed(attempt, attempt.ended_at) and entry.was_undisturbed(
--- a/tests/process/platform_test.py
+++ b/tests/process/platform_test.py
@@ -66,6 +66,20 @@
     run_under_load(3, leave)
 
 
+# Guards against forgetting, at a change of any endpoint, that an answer said that its endpoint leaves.
+def test_platform_an_endpoint_that_says_only_in_answers_that_it_leaves_gets_no_work():
+    async def leave(fleet):
+        endpoint = next(iter(fleet.endpoints.values()))
+        endpoint.says_leaving = True
+        leaving_since = time.monotonic()
+        await asyncio.sleep(1.0)
+        await fleet.add_endpoint("orders", "a")
+        await asyncio.sleep(3.0)
+        late = [run for run in fleet.runs if run.endpoint == endpoint.name and run.arrived_at > leaving_since + 3.4]
+        assert not late, late[0].request_id
+    run_under_load(8, leave)
+
+
 def test_platform_planned_stops_cut_nothing():
     async def stop(fleet):
         for seed in range(2):
