Endpoints that answer 503 with Retry-After get no requests for that time

What callers would see: an endpoint that asks for no requests for a while keeps getting calls and probes from the instance that it told, all of which it turns away; and a call that no endpoint wants is told to come back at a random time.

Cause: Retry-After of an endpoint's 503 was not read.

The reducer keeps the end of that time with the endpoint, for its incarnation and also while it is unlisted: until then the endpoint is not eligible for calls, retries, hedges, held calls, load probes and seat probes. Attempts and the prober check it right before sending; a probe that was not sent no longer counts as a failure of the endpoint. If all endpoints that a call may use hold off, it is rejected at once, and Retry-After is the earliest such end. The log has an event endpoint_held_off. The platform simulation, the endpoint stand-in and the promise checker know it and check that at most two requests come later than half a second after such an answer.

--- a/libs/core/include/core/event.h
+++ b/libs/core/include/core/event.h
@@ -29,7 +29,7 @@
   kRefused,
   /** The endpoint could not be reached; no byte of the request was written. */
   kNotSent,
-  /** This instance gave up before any byte was written: the deadline passed or the endpoint began to leave. */
+  /** This instance gave up before any byte was written: the deadline passed, or the endpoint no longer takes calls. */
   kWithdrawn,
   /** The connection broke after a byte was written and before the answer began. */
   kBroken,
@@ -139,8 +139,8 @@
     std::shared_ptr<const RecordedAnswer> answer;
   };
   /**
-   * The head of an endpoint's answer says that the endpoint is leaving. It precedes the AttemptEnded of that answer,
-   * whose body may take long.
+   * The head of an endpoint's answer says that the endpoint is leaving or wants no requests for a while. It precedes
+   * the AttemptEnded of that answer, whose body may take long.
    */
   struct EndpointReported {
     TimePoint now;
@@ -154,6 +154,8 @@
     LoadReport load;
     /** The call that the probe was sent for; a default-constructed handle if there is none. */
     CallHandle call;
+    /** Whether the probe was not sent, because it was too late or the endpoint wants no requests. */
+    bool withdrawn = false;
   };
   /** The platform granted or renewed a probe seat. */
   struct SeatGranted {
--- a/libs/core/include/core/load_report.h
+++ b/libs/core/include/core/load_report.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chrono>
 #include <cstdint>
 
 namespace sassafras {
@@ -10,6 +11,8 @@
   bool present = false;
   /** Whether the endpoint reported that it is going out of service; independent of `present`. */
   bool draining = false;
+  /** Time for which the endpoint wants no more requests from this instance; zero if it does not say. */
+  std::chrono::milliseconds hold_off{};
   /** Whether the endpoint reported itself unhealthy; it may be wrong. */
   bool unhealthy = false;
   /** Requests that the endpoint is running or has queued. */
--- a/libs/core/include/core/log_record.h
+++ b/libs/core/include/core/log_record.h
@@ -14,6 +14,8 @@
     kEndpointGone,
     /** Temporarily out of use after failures. */
     kEndpointEjected,
+    /** Temporarily out of use because the endpoint wants no requests. */
+    kEndpointHeldOff,
     kMembersSilent,
     kMembersBack,
     /** A request that crashes endpoints is now refused. */
--- a/libs/core/include/core/state.h
+++ b/libs/core/include/core/state.h
@@ -61,6 +61,8 @@
   bool IsLeaving(EndpointHandle endpoint) const;
   /** Whether calls may be sent to the endpoint: it is listed and not leaving. */
   bool AcceptsCalls(EndpointHandle endpoint) const;
+  /** Whether the endpoint wants no requests from this instance at `now`, not even probes. */
+  bool IsHeldOff(EndpointHandle endpoint, TimePoint now) const;
   /** Newest incarnation seen of the endpoint; 0 if unknown. */
   uint64_t EndpointIncarnation(EndpointHandle endpoint) const;
   /** Number of positions in the endpoint table, including free ones; handles have lower indexes. */
--- a/libs/core/src/call_end.cc
+++ b/libs/core/src/call_end.cc
@@ -103,6 +103,30 @@
   return basis;
 }
 
+/**
+ * Returns the time until the first of the endpoints that the call may use wants requests again; zero if one of them
+ * does already, or if there are none.
+ */
+std::chrono::milliseconds HoldOffLeft(StateParts& parts, const CallState& call, TimePoint now) {
+  TimePoint first = TimePoint::max();
+  for (const EndpointHandle endpoint : parts.CandidatesOf(call)) {
+    const EndpointState& state = parts.At(endpoint);
+    if (state.active && !state.leaving)
+      first = std::min(first, state.held_off_until);
+  }
+  if (first == TimePoint::max() || first <= now)
+    return {};
+  return std::chrono::ceil<std::chrono::milliseconds>(first - now);
+}
+
+/** Returns the retry delay of a rejected call: exact if all endpoints hold off requests, otherwise random. */
+std::chrono::milliseconds RetryAfter(StateParts& parts, const CallState& call, Reason reason, TimePoint now) {
+  const auto random = RandomRetryAfter(parts, reason, call.caller_deadline - now);
+  const bool not_run = InfoOf(reason).outcome == Outcome::kNotRun;
+  const auto held_off = not_run ? HoldOffLeft(parts, call, now) : std::chrono::milliseconds::zero();
+  return held_off > std::chrono::milliseconds::zero() ? held_off : random;
+}
+
 }  // namespace
 
 std::chrono::milliseconds RandomRetryAfter(StateParts& parts, Reason reason, Duration left) {
@@ -128,7 +152,7 @@
   const CallState call = *parts.calls.Find(handle);
   const bool not_run = InfoOf(reason).outcome == Outcome::kNotRun;
   CountOutcome(parts, call, not_run ? &PlanCounters::not_run : &PlanCounters::unknown, now);
-  const auto retry_after = RandomRetryAfter(parts, reason, call.caller_deadline - now);
+  const auto retry_after = RetryAfter(parts, call, reason, now);
   effects.push_back(Effect::Reject{call.ticket, reason, {}, retry_after, RejectionBasis(call)});
   parts.calls.Remove(handle);
   SettleRecord(parts, call.record, reason, now, effects);
--- a/libs/core/src/control.cc
+++ b/libs/core/src/control.cc
@@ -114,7 +114,7 @@
     const EndpointHandle endpoint(index);
     const EndpointState& state = parts.At(endpoint);
     const uint32_t seat = ProbeSchedule::SeatOf(state.name_hash);
-    if (!state.active || !parts.probes.Holds(seat, now))
+    if (!state.active || state.held_off_until > now || !parts.probes.Holds(seat, now))
       continue;
     const Duration interval = ProbeSchedule::ProbeInterval(parts.At(state.service).config.probe_budget);
     if (!parts.probes.TakeIfDue(endpoint, seat, interval, now, parts.random))
@@ -249,7 +249,7 @@
 }
 
 void OnProbeEnded(StateParts& parts, const Event::ProbeEnded& event, Effects& effects) {
-  // A failed health check may still say that the endpoint is leaving.
+  // A failed health check may still say that the endpoint is leaving or wants no requests.
   LearnFromLoadReport(parts, event.endpoint, event.load, event.now);
   OnLoadProbeEnded(parts, event, effects);
 }
--- a/libs/core/src/endpoint_learning.cc
+++ b/libs/core/src/endpoint_learning.cc
@@ -11,6 +11,8 @@
 namespace sassafras {
 namespace {
 
+using std::chrono::milliseconds;
+
 /** Lifetime of the rumors that an endpoint is leaving or has returned. */
 constexpr std::chrono::minutes kLeavingRumorLifetime{10};
 
@@ -26,6 +28,16 @@
                     [&](EndpointHandle endpoint) { return parts.endpoints[endpoint].ejected_until > now; }));
 }
 
+/** Sends the endpoint nothing for the time `duration`, unless it is held off for longer already. */
+void HoldOff(StateParts& parts, EndpointHandle endpoint, milliseconds duration, TimePoint now) {
+  EndpointState& state = parts.At(endpoint);
+  const bool held_off_before = state.held_off_until > now;
+  state.held_off_until = std::max(state.held_off_until, now + duration);
+  if (!held_off_before)
+    parts.log_records.push_back({LogRecord::Kind::kEndpointHeldOff, parts.endpoints.Listing(endpoint).name,
+                                 state.incarnation, duration, "answer"});
+}
+
 }  // namespace
 
 void UpdateAverage(float& average, float sample) {
@@ -75,6 +87,10 @@
   RecordAlive(parts, endpoint, load.incarnation, now);
   if (load.draining)
     RecordLeaving(parts, endpoint, load.incarnation, "answer", now);
+  // A report of an earlier incarnation says nothing about the current one.
+  const bool current = load.incarnation == 0 || load.incarnation >= parts.At(endpoint).incarnation;
+  if (current && load.hold_off > milliseconds::zero())
+    HoldOff(parts, endpoint, load.hold_off, now);
 }
 
 void RecordAlive(StateParts& parts, EndpointHandle endpoint, uint64_t incarnation, TimePoint now) {
--- a/libs/core/src/endpoint_learning.h
+++ b/libs/core/src/endpoint_learning.h
@@ -28,7 +28,10 @@
 /** Returns the endpoint's latency relative to its service; the learned value decays towards 1 with time. */
 float RelativeLatencyAt(const EndpointState& state, TimePoint now);
 
-/** Applies the part of a load report that decides whether the endpoint gets calls: incarnation and draining flag. */
+/**
+ * Applies the part of a load report that decides whether the endpoint gets calls: its incarnation, the draining flag
+ * and the time for which it wants no requests.
+ */
 void LearnAvailability(StateParts& parts, EndpointHandle endpoint, const LoadReport& load, TimePoint now);
 
 /** Applies a load report of an endpoint, including the part that LearnAvailability() applies. */
--- a/libs/core/src/endpoint_state.h
+++ b/libs/core/src/endpoint_state.h
@@ -46,6 +46,8 @@
   /** Start of the gradual increase to full load (slow start) by this instance; independent of `warmup_until`. */
   TimePoint ramp_start{};
   TimePoint ejected_until{};
+  /** Time until which the endpoint wants no requests from this instance, by its own answer. */
+  TimePoint held_off_until{};
   /** Time until which the endpoint is expected to be slow after its start. */
   TimePoint warmup_until{};
   uint64_t name_hash = 0;
--- a/libs/core/src/endpoint_table.cc
+++ b/libs/core/src/endpoint_table.cc
@@ -61,7 +61,8 @@
 void EndpointTable::ReclaimInactive(TimePoint now) {
   for (uint32_t index = 0; index < m_states.size(); ++index) {
     EndpointState& state = m_states[index];
-    const bool retired = !state.active && state.in_flight == 0 && state.service.IsValid();
+    const bool unused = state.in_flight == 0 && state.held_off_until <= now;
+    const bool retired = !state.active && unused && state.service.IsValid();
     // Calls that have recently probed or tried the endpoint still hold its handle.
     if (!retired || now - state.inactive_since < kReclaimDelay)
       continue;
@@ -131,6 +132,7 @@
   state.ramp_start = now;
   state.consecutive_failures = 0;
   state.ejected_until = {};
+  state.held_off_until = {};
   state.latency_us = 0;
   return was_leaving;
 }
--- a/libs/core/src/endpoint_table.h
+++ b/libs/core/src/endpoint_table.h
@@ -24,7 +24,10 @@
   EndpointHandle Upsert(const Endpoint& listing, ServiceHandle service, TimePoint now, bool start_ramp);
   /** Marks all endpoints inactive, before lists are applied. */
   void DeactivateAll(TimePoint now);
-  /** Frees the positions of endpoints that have been inactive for a while and have no attempt in progress. */
+  /**
+   * Frees the positions of endpoints that have been inactive for a while, have no attempt in progress and do not hold
+   * off requests.
+   */
   void ReclaimInactive(TimePoint now);
 
   EndpointState& operator[](EndpointHandle handle) { return m_states[handle.Index()]; }
--- a/libs/core/src/load_probing.cc
+++ b/libs/core/src/load_probing.cc
@@ -430,7 +430,7 @@
     service.full_share = FullShareAt(service, event.now);
     service.full_share_at = event.now;
     UpdateRate(service.full_share, utilization > kAllSlots);
-  } else {
+  } else if (!event.withdrawn) {
     RecordFailure(parts, event.endpoint, event.now);
   }
   if (estimate <= kGoodEnoughFactor * expected && IsEligible(parts, *call, event.endpoint, event.now)) {
--- a/libs/core/src/selection.cc
+++ b/libs/core/src/selection.cc
@@ -50,7 +50,9 @@
 bool IsEligible(StateParts& parts, const CallState& call, EndpointHandle endpoint, TimePoint now) {
   const EndpointState& state = parts.At(endpoint);
   // The table position may since have been reused for an endpoint of another service.
-  if (state.service != call.service || !state.active || state.leaving || state.ejected_until > now)
+  if (state.service != call.service || !state.active || state.leaving)
+    return false;
+  if (state.ejected_until > now || state.held_off_until > now)
     return false;
   if (state.in_flight >= state.connection_limit)
     return false;
--- a/libs/core/src/state.cc
+++ b/libs/core/src/state.cc
@@ -91,6 +91,10 @@
   return state.active && !state.leaving;
 }
 
+bool State::IsHeldOff(EndpointHandle endpoint, TimePoint now) const {
+  return m_parts->At(endpoint).held_off_until > now;
+}
+
 uint64_t State::EndpointIncarnation(EndpointHandle endpoint) const {
   return m_parts->At(endpoint).incarnation;
 }
--- a/libs/core/tests/fleet_fuzz_test.cc
+++ b/libs/core/tests/fleet_fuzz_test.cc
@@ -132,6 +132,11 @@
   void Act(PlatformFleetSimulation& simulation) const override { simulation.LeaveWithoutNotice(Address()); }
 };
 
+struct HoldOffRequests : Step {
+  bool holds_off = *rc::gen::arbitrary<bool>();
+  void Act(PlatformFleetSimulation& simulation) const override { simulation.SetHoldsOff(Address(), holds_off); }
+};
+
 struct CrashEndpoint : Step {
   void Act(PlatformFleetSimulation& simulation) const override { simulation.Crash(Address()); }
 };
@@ -172,14 +177,15 @@
   const bool passed = rc::check("no guarantee is violated on the platform", [&digest] {
     const auto seed = *rc::gen::inRange<uint64_t>(1, 1'000'000);
     auto simulation = std::make_unique<PlatformFleetSimulation>(seed);
-    rc::state::check(Model(), *simulation,
-                     rc::state::gen::execOneOfWithArgs<
-                         SendCalls, SendCalls, SendCalls, SendCalls, DisconnectCaller, PauseInstance, ResumeInstance,
-                         ResumeInstance, KillInstance, RestartInstance, RestartInstance, RestartAllInstances,
-                         StopInstance, IsolateInstance, ChangeStoreMode, ChangeStoreMode, TakeStoreDown, BringStoreUp,
-                         BringStoreUp, ChangeReadLag, CompactStoreHistory, MoveRoute, MoveRoute, DrainEndpoint,
-                         LeaveWithoutNotice, CrashEndpoint, StartEndpoint, StartEndpoint, RestartEndpoint,
-                         WriteDamagedEntry, LoseAnswers, ChangeGossipDropRate, LongDelay, LongDelay>());
+    rc::state::check(
+        Model(), *simulation,
+        rc::state::gen::execOneOfWithArgs<
+            SendCalls, SendCalls, SendCalls, SendCalls, DisconnectCaller, PauseInstance, ResumeInstance, ResumeInstance,
+            KillInstance, RestartInstance, RestartInstance, RestartAllInstances, StopInstance, IsolateInstance,
+            ChangeStoreMode, ChangeStoreMode, TakeStoreDown, BringStoreUp, BringStoreUp, ChangeReadLag,
+            CompactStoreHistory, MoveRoute, MoveRoute, DrainEndpoint, LeaveWithoutNotice, HoldOffRequests,
+            CrashEndpoint, StartEndpoint, StartEndpoint, RestartEndpoint, WriteDamagedEntry, LoseAnswers,
+            ChangeGossipDropRate, LongDelay, LongDelay>());
     simulation->RecoverAndCheck();
     digest = HashCombine(digest, simulation->EffectsHash());
     RC_ASSERT(simulation->FirstViolation() == std::string());
@@ -282,6 +288,27 @@
   }
 }
 
+// Guards against sending calls or probes to an endpoint that asked for none for a while.
+TEST_CASE("an endpoint that holds off requests gets none meanwhile, and is used again later") {
+  for (uint64_t seed = 80; seed < 85; ++seed) {
+    CAPTURE(seed);
+    PlatformFleetSimulation simulation(seed);
+    simulation.SetHoldsOff(0, true);
+    simulation.SetHoldsOff(2, true);
+    SendFor(simulation, Millis(4'000));
+    simulation.Drain(4);
+    SendFor(simulation, Millis(4'000));
+    simulation.SetHoldsOff(0, false);
+    simulation.SetHoldsOff(2, false);
+    simulation.Advance(PlatformFleetSimulation::kHoldOffDuration);
+    const size_t answered_before = simulation.AnsweredCount();
+    const size_t calls_before = simulation.CallCount();
+    SendFor(simulation, Millis(2'000));
+    CheckGuarantees(simulation);
+    CHECK(simulation.AnsweredCount() - answered_before >= simulation.CallCount() - calls_before);
+  }
+}
+
 TEST_CASE("instances whose requests the store refuses or ignores still learn of plan and endpoint changes") {
   PlatformFleetSimulation simulation(3);
   simulation.SetStoreMode(0, StoreMode::kRefuses);
--- a/libs/core/tests/platform_fleet_simulation.cc
+++ b/libs/core/tests/platform_fleet_simulation.cc
@@ -27,6 +27,9 @@
 constexpr Millis kMaxEntryReturnDelay{1'500};
 /** Time for which a draining endpoint keeps serving. */
 constexpr Millis kDrainDuration{2'600};
+/** Time for requests under way to arrive at an endpoint that has just asked for none, and how many may come later. */
+constexpr Millis kHoldOffGrace{500};
+constexpr size_t kMaxRequestsInHoldOff = 2;
 /** Time for which an endpoint keeps serving that tells only its callers that it is leaving. */
 constexpr Millis kSilentLeaveDuration{4'000};
 
@@ -165,6 +168,7 @@
 void PlatformFleetSimulation::Pause(size_t instance) {
   m_instances[instance].paused = true;
   ForgetToldLeaving(instance);
+  ForgetHoldOffs(instance);
   MarkDisturbed(instance);
 }
 
@@ -186,6 +190,7 @@
       call.completed = true;
   }
   ForgetToldLeaving(index);
+  ForgetHoldOffs(index);
   instance.state.reset();
   instance.paused = false;
   instance.deferred_events.clear();
@@ -204,6 +209,7 @@
 
 void PlatformFleetSimulation::SetIsolated(size_t instance, bool isolated) {
   m_instances[instance].isolated = isolated;
+  ForgetHoldOffs(instance);
   // Peers that rely on the instance to read the store are affected too, until another one takes over.
   m_gossip_undisturbed_since = m_now;
   MarkDisturbed(instance);
@@ -307,6 +313,28 @@
     endpoint.told_leaving_at[instance].reset();
 }
 
+void PlatformFleetSimulation::ForgetHoldOffs(size_t instance) {
+  for (FakeEndpoint& endpoint : m_endpoints)
+    endpoint.hold_offs[instance] = HoldOff();
+}
+
+void PlatformFleetSimulation::StartHoldOff(FakeEndpoint& endpoint, size_t instance) {
+  HoldOff& hold_off = endpoint.hold_offs[instance];
+  if (m_now >= hold_off.until)
+    hold_off = {m_now + kHoldOffGrace, m_now, 0};
+  hold_off.until = m_now + kHoldOffDuration;
+}
+
+void PlatformFleetSimulation::CheckHoldOff(FakeEndpoint& endpoint, size_t instance) {
+  HoldOff& hold_off = endpoint.hold_offs[instance];
+  if (m_now <= hold_off.from || m_now >= hold_off.until)
+    return;
+  ++hold_off.requests;
+  if (hold_off.requests > kMaxRequestsInHoldOff)
+    ReportViolation(fmt::format("{} received {} requests from i{} although it wants none", endpoint.name,
+                                hold_off.requests, instance));
+}
+
 void PlatformFleetSimulation::Crash(size_t address) {
   FakeEndpoint& endpoint = m_endpoints[address];
   if (!endpoint.up)
@@ -337,6 +365,8 @@
   endpoint.says_leaving = false;
   endpoint.tells_probes = true;
   endpoint.told_leaving_at = {};
+  endpoint.holds_off = false;
+  endpoint.hold_offs = {};
   PutEntry(address);
 }
 
--- a/libs/core/tests/platform_fleet_simulation.h
+++ b/libs/core/tests/platform_fleet_simulation.h
@@ -38,6 +38,7 @@
   static constexpr size_t kInstances = 5;
   static constexpr size_t kAddresses = 8;
   static constexpr Millis kCallDeadline{1'500};
+  static constexpr Millis kHoldOffDuration{1'500};
 
   explicit PlatformFleetSimulation(uint64_t seed);
   ~PlatformFleetSimulation();
@@ -83,6 +84,8 @@
   void RestartEndpoint(size_t address);
   /** Writes an unreadable entry, as another writer would, under a name that no endpoint has. */
   void WriteDamagedEntry();
+  /** Sets whether the endpoint refuses all calls and wants no requests for kHoldOffDuration after each refusal. */
+  void SetHoldsOff(size_t address, bool holds_off) { m_endpoints[address].holds_off = holds_off; }
   void SetLosesAnswers(size_t address, bool loses_answers) { m_endpoints[address].loses_answers = loses_answers; }
   void SetGossipDropRate(double rate) { m_gossip_drop_rate = rate; }
 
@@ -123,6 +126,12 @@
     /** Since when no failure has been injected into the instance. */
     TimePoint undisturbed_since;
   };
+  /** Time in which an endpoint wants no requests from one instance, and the requests that it got all the same. */
+  struct HoldOff {
+    TimePoint from{};
+    TimePoint until{};
+    size_t requests = 0;
+  };
   /** The endpoint that listens at one address, or listened there last. */
   struct FakeEndpoint {
     std::string name;
@@ -133,12 +142,15 @@
     bool says_leaving = false;
     bool tells_probes = true;
     bool loses_answers = false;
+    bool holds_off = false;
     uint64_t incarnation = 0;
     size_t requests_running = 0;
     /** When the store acknowledged that the endpoint is leaving. */
     std::optional<TimePoint> leave_acknowledged_at;
     /** When each instance was first told by an answer that the endpoint is leaving; reset if it restarts or pauses. */
     std::array<std::optional<TimePoint>, kInstances> told_leaving_at;
+    /** By instance; reset if it restarts, pauses or loses its connections. */
+    std::array<HoldOff, kInstances> hold_offs;
     /** When another endpoint may start at the address. */
     TimePoint reusable_at{};
   };
@@ -216,6 +228,11 @@
   void RecordToldLeaving(size_t address, uint64_t incarnation, size_t instance);
   /** Excuses the instance from what answers told it before, because it restarts or pauses. */
   void ForgetToldLeaving(size_t instance);
+  void ForgetHoldOffs(size_t instance);
+  /** Records that the endpoint wants no requests from the instance for kHoldOffDuration. */
+  void StartHoldOff(FakeEndpoint& endpoint, size_t instance);
+  /** Counts a call or probe that arrives at the endpoint, and reports a violation if too many come while held off. */
+  void CheckHoldOff(FakeEndpoint& endpoint, size_t instance);
   void CheckNoFalseLeavingMarks(size_t instance);
   void CheckRun(const FakeEndpoint& endpoint, const CallRecord& call);
   void CheckGenerations();
--- a/libs/core/tests/platform_fleet_simulation_effects.cc
+++ b/libs/core/tests/platform_fleet_simulation_effects.cc
@@ -303,8 +303,10 @@
   const uint64_t known_incarnation = m_instances[index].state->EndpointIncarnation(effect.endpoint);
   const auto address = static_cast<size_t>(row.address.back() - '0');
   RunAfter(NetworkDelay(), [=, this] {
-    const FakeEndpoint& endpoint = m_endpoints[address];
+    FakeEndpoint& endpoint = m_endpoints[address];
     const bool answered = endpoint.up && endpoint.name == row.name;
+    if (answered)
+      CheckHoldOff(endpoint, index);
     LoadReport load = answered ? MakeLoadReport(endpoint) : LoadReport();
     load.incarnation = known_incarnation;
     const uint64_t answering = endpoint.incarnation;
@@ -358,6 +360,8 @@
     LoadReport load;
     load.draining = has_answer && answering.says_leaving;
     load.incarnation = known_incarnation;
+    if (result == AttemptResult::kRefused && !is_wrong_endpoint && answering.holds_off)
+      load.hold_off = kHoldOffDuration;
     const uint64_t answering_incarnation = answering.incarnation;
     RunAfter(NetworkDelay(), [=, this] {
       if (std::exchange(*has_ended, true))
@@ -376,6 +380,12 @@
     end_attempt(AttemptResult::kRefused, true);
     return;
   }
+  CheckHoldOff(endpoint, index);
+  if (endpoint.holds_off) {
+    StartHoldOff(endpoint, index);
+    end_attempt(AttemptResult::kRefused, false);
+    return;
+  }
   if (endpoint.requests_running >= kEndpointSlots + kEndpointQueueLength) {
     end_attempt(AttemptResult::kRefused, false);
     return;
--- a/libs/entry/include/entry/http_dialect.h
+++ b/libs/entry/include/entry/http_dialect.h
@@ -49,8 +49,8 @@
   virtual ResponseKind Classify(const RequestHead& request, const ResponseHead& response) const = 0;
   /** Whether a response body may be delimited by the end of the connection; if not, it counts as malformed. */
   virtual bool AllowsCloseDelimitedBody() const = 0;
-  /** Reads the load report of a response; its `present` is false if there is none. */
-  virtual LoadReport ReadLoad(const Fields& fields) const = 0;
+  /** Reads what a response says of its endpoint: its load, and whether it takes further requests. */
+  virtual LoadReport ReadLoad(const ResponseHead& response) const = 0;
   /**
    * Whether a response is not the answer of `endpoint_name` to a probe, because another endpoint sent it or it belongs
    * to an earlier request on the connection.
--- a/libs/entry/src/attempt.cc
+++ b/libs/entry/src/attempt.cc
@@ -82,8 +82,8 @@
   const bool connected = co_await Connect();
   if (!connected)
     co_return AttemptResult::kNotSent;
-  // Checked right before sending: the process may have been paused, or the endpoint may have begun to leave.
-  if (m_engine.Now() >= m_target.deadline || !m_engine.GetState().AcceptsCalls(m_target.endpoint))
+  // Checked right before sending: the process may have been paused, or the endpoint may no longer take calls.
+  if (!MaySend())
     co_return AttemptResult::kWithdrawn;
   m_connection->stream.expires_at(m_target.deadline);
   const error_code send_error = co_await SendRequest();
@@ -134,6 +134,12 @@
   co_return true;
 }
 
+bool Attempt::MaySend() const {
+  const TimePoint now = m_engine.Now();
+  const State& state = m_engine.GetState();
+  return now < m_target.deadline && state.AcceptsCalls(m_target.endpoint) && !state.IsHeldOff(m_target.endpoint, now);
+}
+
 asio::awaitable<error_code> Attempt::SendRequest() {
   const auto& received = m_exchange.Request().get();
   http::request_header<> head = received;
@@ -236,7 +242,8 @@
   load = m_dialect.ReadLoad(m_response->get());
   if (load.incarnation == 0)
     load.incarnation = m_target.incarnation;
-  if (load.draining && kind != ResponseKind::kWrongEndpoint)
+  const bool takes_no_more = load.draining || load.hold_off > std::chrono::milliseconds::zero();
+  if (takes_no_more && kind != ResponseKind::kWrongEndpoint)
     m_engine.Post(Event::EndpointReported{m_engine.Now(), m_target.endpoint, load});
 }
 
--- a/libs/entry/src/attempt.h
+++ b/libs/entry/src/attempt.h
@@ -32,6 +32,7 @@
 
   asio::awaitable<AttemptResult> SendAndReceive();
   asio::awaitable<bool> Connect();
+  bool MaySend() const;
   asio::awaitable<error_code> SendRequest();
   asio::awaitable<error_code> SendStreamedBody(http::request<http::buffer_body> request);
   asio::awaitable<error_code> ReadResponseHead();
@@ -43,7 +44,7 @@
   asio::awaitable<AttemptResult> RelayResponse();
   asio::awaitable<AttemptResult> RelayRemainingBody(http::response<http::buffer_body>& answer);
   asio::awaitable<void> WriteToCaller(http::response_serializer<http::buffer_body>& serializer);
-  /** Reads the load report in the response head, and passes on at once that the endpoint is leaving. */
+  /** Reads the load report in the response head, and passes on at once that the endpoint takes no more requests. */
   void ReadLoad(ResponseKind kind);
   AttemptResult ResultForError(const error_code& error) const;
   void ReturnConnectionIfReusable();
--- a/libs/entry/src/log_record_writer.cc
+++ b/libs/entry/src/log_record_writer.cc
@@ -20,11 +20,12 @@
 };
 
 /** Indexed by LogRecord::Kind. */
-constexpr std::array<Row, 9> kRows = {{
+constexpr std::array<Row, 10> kRows = {{
     {LogRecord::Kind::kEndpointServing, LogLevel::kInfo, "endpoint_serving", "endpoint", "revision"},
     {LogRecord::Kind::kEndpointLeaving, LogLevel::kInfo, "endpoint_leaving", "endpoint", "revision"},
     {LogRecord::Kind::kEndpointGone, LogLevel::kInfo, "endpoint_gone", "endpoint", "revision"},
     {LogRecord::Kind::kEndpointEjected, LogLevel::kWarning, "endpoint_ejected", "endpoint", "incarnation"},
+    {LogRecord::Kind::kEndpointHeldOff, LogLevel::kInfo, "endpoint_held_off", "endpoint", "incarnation"},
     {LogRecord::Kind::kMembersSilent, LogLevel::kWarning, "members_silent", "first", "count"},
     {LogRecord::Kind::kMembersBack, LogLevel::kInfo, "members_back", "first", "count"},
     {LogRecord::Kind::kRequestQuarantined, LogLevel::kWarning, "request_quarantined", "fingerprint", "version"},
--- a/libs/entry/src/native_dialect.cc
+++ b/libs/entry/src/native_dialect.cc
@@ -33,8 +33,8 @@
   return IsRefusal(response) ? ResponseKind::kRefusal : ResponseKind::kMatching;
 }
 
-LoadReport NativeDialect::ReadLoad(const Fields& fields) const {
-  return ReadLoadReport(fields);
+LoadReport NativeDialect::ReadLoad(const ResponseHead& response) const {
+  return ReadLoadReport(response);
 }
 
 bool NativeDialect::IsMismatchedProbeResponse(const Fields& /*fields*/, std::string_view /*endpoint_name*/) const {
--- a/libs/entry/src/prober.cc
+++ b/libs/entry/src/prober.cc
@@ -73,9 +73,11 @@
   }
   http::request<http::empty_body> request(http::verb::get, path, 11);
   request.set(http::field::host, address);
-  // Checked right before sending: the process may have been paused since the probe was scheduled.
-  if (m_engine.Now() >= not_after) {
+  // Checked right before sending: the process may have been paused, or the endpoint may have asked for no requests.
+  const TimePoint now = m_engine.Now();
+  if (now >= not_after || m_engine.GetState().IsHeldOff(ended.endpoint, now)) {
     ++m_withdrawn;
+    ended.withdrawn = true;
     co_return error;
   }
   ++m_sent;
--- a/libs/entry/tests/attempt_test.cc
+++ b/libs/entry/tests/attempt_test.cc
@@ -125,5 +125,16 @@
   CHECK(fixture.engine.GetState().CallsInProgress() == 0);
 }
 
+// Guards against sending a request to an endpoint that asked for none while the connection was made.
+TEST_CASE("an attempt at an endpoint that holds off requests while the connection is made is withdrawn") {
+  Fixture fixture("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+  LoadReport report;
+  report.hold_off = std::chrono::seconds(2);
+  fixture.engine.Post(Event::EndpointReported{fixture.clock.Now(), kEndpoint, report});
+  while (fixture.engine.GetState().InFlight(kEndpoint) == 1 && fixture.context.run_one() > 0) {
+  }
+  CHECK(fixture.endpoint.ReceivedBytes() == 0);
+}
+
 }  // namespace
 }  // namespace sassafras
--- a/libs/entry/tests/prober_test.cc
+++ b/libs/entry/tests/prober_test.cc
@@ -83,5 +83,27 @@
   }
 }
 
+// Guards against sending a probe to an endpoint that asked for no requests after the probe was scheduled.
+TEST_CASE("a probe to an endpoint that holds off requests is not sent") {
+  asio::io_context context;
+  ManualClock clock;
+  NullControlSink control;
+  Engine engine(StateOptions(), clock);
+  engine.SetControlSink(control);
+  EndlessEndpoint endpoint(context, "no answer");
+  engine.Post(
+      Event::ListsReceived{clock.Now(), 1, std::make_shared<const Lists>(ListsWithEndpoint(endpoint.Address()))});
+  UpstreamPool pool(context.get_executor(), clock);
+  const NativeDialect dialect;
+  Prober prober(context.get_executor(), engine, pool, dialect);
+  prober.Send({EndpointHandle(0), TimePoint::max(), {}});
+  LoadReport report;
+  report.hold_off = std::chrono::seconds(2);
+  engine.Post(Event::EndpointReported{clock.Now(), EndpointHandle(0), report});
+  context.run();
+  CHECK(prober.SentCount() == 0);
+  CHECK(prober.WithdrawnCount() == 1);
+}
+
 }  // namespace
 }  // namespace sassafras
--- a/tests/platform/endpoint_standin.py
+++ b/tests/platform/endpoint_standin.py
@@ -15,6 +15,7 @@
     `runs` is shared by all endpoints; a Run is appended for each request that an endpoint begins to execute.
     Injected faults: `slowdown` multiplies the processing time, `drop_probability` is the probability that the
     connection is reset instead of answered, `damage` names the way in which some answers are damaged.
+    With `hold_off_s` above 0 it refuses all requests and wants none for so many seconds; `refusals` lists them.
     With `says_leaving` its answers say that it is leaving, whatever it reports to the store.
     """
 
@@ -23,6 +24,7 @@
         self.runs, self.running, self.waiting = runs, 0, 0
         self.slowdown, self.drop_probability, self.damage = 1.0, 0.0, ""
         self.draining, self.says_leaving = False, False
+        self.hold_off_s, self.refusals = 0.0, []
         self.born = int(time.time() * 1000)
         self._random = random.Random(seed)
         self._slots = asyncio.Semaphore(slots)
@@ -60,9 +62,14 @@
                 await self._handle_request(request, writer)
             await writer.drain()
 
-    def _encode_refusal(self, request, status):
+    def _hold_off(self, request, writer):
+        request_id = request.headers.get("sassafraspath-request-id", "")
+        self.refusals.append(Refusal(request_id, self.hold_off_s))
+        writer.write(self._encode_refusal(request, 503, {"Retry-After": f"{self.hold_off_s:.3f}"}))
+
+    def _encode_refusal(self, request, status, more_fields=None):
         fields = {"Sassafraspath-Not-Executed": "1", "Sassafraspath-Request-Id": request.headers.get(
-            "sassafraspath-request-id", ""), **self._state_fields()}
+            "sassafraspath-request-id", ""), **self._state_fields(), **(more_fields or {})}
         return encode_answer(status, b"", fields)
 
     async def _handle_request(self, request, writer):
@@ -70,6 +77,9 @@
         if expected_instance != self.name:
             writer.write(self._encode_refusal(request, 421))
             return
+        if self.hold_off_s > 0:
+            self._hold_off(request, writer)
+            return
         if self.waiting >= 2 * self.slots:
             writer.write(self._encode_refusal(request, 503))
             return
@@ -115,6 +125,13 @@
         abort(writer)
 
 
+class Refusal:
+    """A request that an endpoint refused, and for how long it then wanted none from the same instance."""
+
+    def __init__(self, request_id, hold_off_s):
+        self.request_id, self.refused_at, self.hold_off_s = request_id, time.monotonic(), hold_off_s
+
+
 class Run:
     """A request that an endpoint began to execute."""
 
--- a/tests/platform/promises.py
+++ b/tests/platform/promises.py
@@ -7,6 +7,8 @@
 # configuration is in force after CONFIG_PROPAGATION_S. These bounds apply to an instance into which no fault has been
 # injected for UNDISTURBED_S.
 DRAIN_PROPAGATION_S, CONFIG_PROPAGATION_S, UNDISTURBED_S = 2.0, 2.0, 3.0
+# After an endpoint has asked an instance for no requests, this many may still come later than HOLD_OFF_GRACE_S.
+HOLD_OFF_GRACE_S, MAX_REQUESTS_IN_HOLD_OFF = 0.5, 2
 # On a busy machine the asyncio timers of the test harness itself fire late by up to this many seconds.
 MAX_HARNESS_DELAY_S = 0.4
 
@@ -30,6 +32,8 @@
         for request_id, attempt in attempts_by_id.items():
             violations += self._check_answer(attempt, runs.get(request_id, []))
         violations += self._check_told_leaving(runs)
+        for endpoint in self.fleet.endpoints.values():
+            violations += self._check_hold_offs(endpoint, attempts_by_id)
         return violations
 
     def _entry_of(self, attempt):
@@ -54,6 +58,20 @@
                     yield (f"{attempt.request_id}: sent to {run.endpoint} {attempt.sent_at - since:.1f} s after an answer "
                            "said that it leaves")
 
+    def _check_hold_offs(self, endpoint, attempts_by_id):
+        """An instance sends an endpoint that wants no requests for a while next to none in that time."""
+        refusals_by_port = {}
+        for refusal in endpoint.refusals:
+            port = attempts_by_id[refusal.request_id].entry_port
+            refusals_by_port.setdefault(port, []).append(refusal)
+        for port, refusals in refusals_by_port.items():
+            entry = next(entry for entry in self.fleet.entries if entry.port == port)
+            for first in refusals:
+                start, end = first.refused_at + HOLD_OFF_GRACE_S, first.refused_at + first.hold_off_s
+                late = [refusal for refusal in refusals if start < refusal.refused_at < end]
+                if len(late) > MAX_REQUESTS_IN_HOLD_OFF and entry.was_undisturbed(first.refused_at, end):
+                    yield f"{endpoint.name} got {len(late)} requests from {entry.name} although it wanted none"
+
     def _was_undisturbed(self, attempt, until):
         entry = self._entry_of(attempt)
         store_undisturbed = all(end < attempt.sent_at - UNDISTURBED_S or since > until
--- a/tests/process/platform_test.py
+++ b/tests/process/platform_test.py
@@ -80,6 +80,22 @@
     run_under_load(8, leave)
 
 
+# Guards against sending requests to an endpoint that asked for none for a while.
+def test_platform_endpoints_that_hold_off_requests_get_next_to_none():
+    async def hold_off(fleet):
+        held_off = [endpoint for endpoint in fleet.endpoints.values() if endpoint.service == "shop"]
+        for endpoint in held_off:
+            endpoint.hold_off_s = 2.0
+        await asyncio.sleep(5.0)
+        assert all(endpoint.refusals for endpoint in held_off)
+        for endpoint in held_off:
+            endpoint.hold_off_s = 0.0
+        runs_before = len(fleet.runs)
+        await asyncio.sleep(3.0)
+        assert any(run.service == "shop" for run in fleet.runs[runs_before:])
+    run_under_load(9, hold_off)
+
+
 def test_platform_planned_stops_cut_nothing():
     async def stop(fleet):
         for seed in range(2):
