--- a/libs/core/src/control.cc
+++ b/libs/core/src/control.cc
@@ -112,7 +112,7 @@
     const EndpointHandle endpoint(index);
     const EndpointState& state = parts.At(endpoint);
     const uint32_t seat = ProbeSchedule::SeatOf(state.name_hash);
-    if (!state.active || !parts.probes.Holds(seat, now))
+    if (!state.active || state.held_off_until > now || !parts.probes.Holds(seat, now))
       continue;
     const Duration interval = ProbeSchedule::ProbeInterval(parts.At(state.service).config.probe_budget);
     if (!parts.probes.TakeIfDue(endpoint, seat, interval, now, parts.random))
@@ -227,13 +227,15 @@
     return;
   EndpointState& state = parts.At(endpoint);
   if (status.leaving && !MayBeStale(state, status, now))
-    RecordLeaving(parts, endpoint, status.incarnation, now);
+    RecordLeaving(parts, endpoint, status.incarnation, "directory", now);
   if (status.leaving)
     return;
   RecordAlive(parts, endpoint, status.incarnation, now);
   // A leaving mark without an incarnation came from the directory alone, so the directory may clear it.
-  if (state.leaving && state.leaving_incarnation == 0)
-    state.leaving = false;
+  if (!state.leaving || state.leaving_incarnation != 0)
+    return;
+  state.leaving = false;
+  state.leaving_marked = false;
 }
 
 }  // namespace
@@ -245,8 +247,8 @@
 }
 
 void OnProbeEnded(StateParts& parts, const Event::ProbeEnded& event, Effects& effects) {
-  if (event.answered)
-    LearnFromLoadReport(parts, event.endpoint, event.load, event.now);
+  // A failed health check may still say that the endpoint is leaving or wants no requests.
+  LearnFromLoadReport(parts, event.endpoint, event.load, event.now);
   OnLoadProbeEnded(parts, event, effects);
 }
 
--- a/libs/core/src/endpoint_state.h
+++ b/libs/core/src/endpoint_state.h
@@ -32,7 +32,10 @@
   TimePoint inactive_since{};
   /** Whether the endpoint is listed: in the lists, or with discovery in the platform's store. */
   bool active = false;
+  /** Whether the endpoint is leaving, by a mark or by its current entry in the platform's store. */
   bool leaving = false;
+  /** Whether `leaving_incarnation` was marked as leaving. The mark holds until a later incarnation is seen. */
+  bool leaving_marked = false;
   /** Whether calls with long work may be sent here. */
   bool accepts_long_work = false;
   bool same_failure_domain = false;
@@ -43,12 +46,17 @@
   /** Start of the gradual increase to full load (slow start) by this instance; independent of `warmup_until`. */
   TimePoint ramp_start{};
   TimePoint ejected_until{};
+  /** Time until which the endpoint wants no requests from this instance, by its own answer. */
+  TimePoint held_off_until{};
   /** Time until which the endpoint is expected to be slow after its start. */
   TimePoint warmup_until{};
   uint64_t name_hash = 0;
   /** Newest incarnation seen, and the newest one known to be leaving. */
   uint64_t incarnation = 0;
   uint64_t leaving_incarnation = 0;
+
+  /** Whether the newest incarnation was marked as leaving. */
+  bool HasLeavingMark() const { return leaving_marked && leaving_incarnation >= incarnation; }
 };
 
 }  // namespace sassafras
--- a/libs/core/src/state.cc
+++ b/libs/core/src/state.cc
@@ -94,6 +94,19 @@
   return m_parts->At(endpoint).leaving;
 }
 
+bool State::AcceptsCalls(EndpointHandle endpoint) const {
+  const EndpointState& state = m_parts->At(endpoint);
+  return state.active && !state.leaving;
+}
+
+bool State::IsHeldOff(EndpointHandle endpoint, TimePoint now) const {
+  return m_parts->At(endpoint).held_off_until > now;
+}
+
+uint64_t State::EndpointIncarnation(EndpointHandle endpoint) const {
+  return m_parts->At(endpoint).incarnation;
+}
+
 size_t State::EndpointCount() const {
   return m_parts->endpoints.Size();
 }
--- a/libs/core/tests/fleet_fuzz_test.cc
+++ b/libs/core/tests/fleet_fuzz_test.cc
@@ -134,6 +134,15 @@
   void Act(PlatformFleetSimulation& simulation) const override { simulation.Drain(Address()); }
 };
 
+struct LeaveWithoutNotice : Step {
+  void Act(PlatformFleetSimulation& simulation) const override { simulation.LeaveWithoutNotice(Address()); }
+};
+
+struct HoldOffRequests : Step {
+  bool holds_off = *rc::gen::arbitrary<bool>();
+  void Act(PlatformFleetSimulation& simulation) const override { simulation.SetHoldsOff(Address(), holds_off); }
+};
+
 struct CrashEndpoint : Step {
   void Act(PlatformFleetSimulation& simulation) const override { simulation.Crash(Address()); }
 };
@@ -180,8 +189,9 @@
             SendCalls, SendCalls, SendCalls, SendCalls, DisconnectCaller, PauseInstance, ResumeInstance, ResumeInstance,
             KillInstance, RestartInstance, RestartInstance, RestartAllInstances, StopInstance, IsolateInstance,
             ChangeStoreMode, ChangeStoreMode, TakeStoreDown, BringStoreUp, BringStoreUp, RestoreStore, ChangeReadLag,
-            CompactStoreHistory, MoveRoute, MoveRoute, DrainEndpoint, CrashEndpoint, StartEndpoint, StartEndpoint,
-            RestartEndpoint, WriteDamagedEntry, LoseAnswers, ChangeGossipDropRate, LongDelay, LongDelay>());
+            CompactStoreHistory, MoveRoute, MoveRoute, DrainEndpoint, LeaveWithoutNotice, HoldOffRequests,
+            CrashEndpoint, StartEndpoint, StartEndpoint, RestartEndpoint, WriteDamagedEntry, LoseAnswers,
+            ChangeGossipDropRate, LongDelay, LongDelay>());
     simulation->RecoverAndCheck();
     digest = HashCombine(digest, simulation->EffectsHash());
     RC_ASSERT(simulation->FirstViolation() == std::string());
@@ -241,6 +251,70 @@
   }
 }
 
+// Guards against forgetting, at a change of any endpoint, what an answer said.
+TEST_CASE("an endpoint that tells only its callers that it leaves gets nothing more while other endpoints change") {
+  for (uint64_t seed = 50; seed < 60; ++seed) {
+    CAPTURE(seed);
+    PlatformFleetSimulation simulation(seed);
+    simulation.LeaveWithoutNotice(0);
+    SendFor(simulation, Millis(1'500));
+    simulation.Drain(2);
+    SendFor(simulation, Millis(1'500));
+    simulation.StartEndpoint(6, false);
+    SendFor(simulation, Millis(2'500));
+    CheckGuarantees(simulation);
+  }
+}
+
+// Guards against forgetting the leaving mark while the entry of the endpoint is missing in the store.
+TEST_CASE("an endpoint that said that it leaves gets nothing when its expired entry is written back") {
+  for (uint64_t seed = 60; seed < 70; ++seed) {
+    CAPTURE(seed);
+    PlatformFleetSimulation simulation(seed);
+    simulation.TakeStoreDown(StoreMode::kRefuses, true);
+    SendFor(simulation, Millis(3'000));
+    simulation.LeaveWithoutNotice(0);
+    SendFor(simulation, Millis(2'000));
+    simulation.BringStoreUp();
+    SendFor(simulation, Millis(4'000));
+    CheckGuarantees(simulation);
+  }
+}
+
+// Guards against excluding an endpoint that restarts after its previous process told callers that it leaves.
+TEST_CASE("an endpoint that restarts while it is leaving is used again by every instance") {
+  for (uint64_t seed = 70; seed < 80; ++seed) {
+    CAPTURE(seed);
+    PlatformFleetSimulation simulation(seed);
+    simulation.LeaveWithoutNotice(0);
+    SendFor(simulation, Millis(1'000));
+    simulation.RestartEndpoint(0);
+    SendFor(simulation, Millis(2'000));
+    CheckGuarantees(simulation);
+  }
+}
+
+// Guards against sending calls or probes to an endpoint that asked for none for a while.
+TEST_CASE("an endpoint that holds off requests gets none meanwhile, and is used again later") {
+  for (uint64_t seed = 80; seed < 85; ++seed) {
+    CAPTURE(seed);
+    PlatformFleetSimulation simulation(seed);
+    simulation.SetHoldsOff(0, true);
+    simulation.SetHoldsOff(2, true);
+    SendFor(simulation, Millis(4'000));
+    simulation.Drain(4);
+    SendFor(simulation, Millis(4'000));
+    simulation.SetHoldsOff(0, false);
+    simulation.SetHoldsOff(2, false);
+    simulation.Advance(PlatformFleetSimulation::kHoldOffDuration);
+    const size_t answered_before = simulation.AnsweredCount();
+    const size_t calls_before = simulation.CallCount();
+    SendFor(simulation, Millis(2'000));
+    CheckGuarantees(simulation);
+    CHECK(simulation.AnsweredCount() - answered_before >= simulation.CallCount() - calls_before);
+  }
+}
+
 TEST_CASE("instances whose requests the store refuses or ignores still learn of plan and endpoint changes") {
   PlatformFleetSimulation simulation(3);
   simulation.SetStoreMode(0, StoreMode::kRefuses);
--- a/libs/core/tests/platform_fleet_simulation.cc
+++ b/libs/core/tests/platform_fleet_simulation.cc
@@ -27,6 +27,11 @@
 constexpr Millis kMaxEntryReturnDelay{1'500};
 /** Time for which a draining endpoint keeps serving. */
 constexpr Millis kDrainDuration{2'600};
+/** Time for requests under way to arrive at an endpoint that has just asked for none, and how many may come later. */
+constexpr Millis kHoldOffGrace{500};
+constexpr size_t kMaxRequestsInHoldOff = 2;
+/** Time for which an endpoint keeps serving that tells only its callers that it is leaving. */
+constexpr Millis kSilentLeaveDuration{4'000};
 
 }  // namespace
 
@@ -162,6 +167,8 @@
 
 void PlatformFleetSimulation::Pause(size_t instance) {
   m_instances[instance].paused = true;
+  ForgetToldLeaving(instance);
+  ForgetHoldOffs(instance);
   MarkDisturbed(instance);
 }
 
@@ -182,6 +189,8 @@
     if (call.instance == index && call.incarnation == instance.incarnation)
       call.completed = true;
   }
+  ForgetToldLeaving(index);
+  ForgetHoldOffs(index);
   instance.state.reset();
   instance.paused = false;
   instance.deferred_events.clear();
@@ -200,6 +209,7 @@
 
 void PlatformFleetSimulation::SetIsolated(size_t instance, bool isolated) {
   m_instances[instance].isolated = isolated;
+  ForgetHoldOffs(instance);
   // Peers that rely on the instance to read the store are affected too, until another one takes over.
   m_gossip_undisturbed_since = m_now;
   MarkDisturbed(instance);
@@ -290,6 +300,7 @@
   if (!endpoint.up || endpoint.draining || m_store_down)
     return;
   endpoint.draining = true;
+  endpoint.says_leaving = true;
   endpoint.leave_acknowledged_at = m_now;
   PutEntry(address);
   RunAfter(kDrainDuration, [this, address, name = endpoint.name] {
@@ -302,6 +313,52 @@
   });
 }
 
+void PlatformFleetSimulation::LeaveWithoutNotice(size_t address) {
+  FakeEndpoint& endpoint = m_endpoints[address];
+  if (!endpoint.up || endpoint.says_leaving)
+    return;
+  endpoint.says_leaving = true;
+  endpoint.tells_probes = false;
+  RunAfter(kSilentLeaveDuration, [this, address, incarnation = endpoint.incarnation] {
+    if (m_endpoints[address].incarnation == incarnation)
+      Crash(address);
+  });
+}
+
+void PlatformFleetSimulation::RecordToldLeaving(size_t address, uint64_t incarnation, size_t instance) {
+  FakeEndpoint& endpoint = m_endpoints[address];
+  std::optional<TimePoint>& told_at = endpoint.told_leaving_at[instance];
+  if (endpoint.incarnation == incarnation && !told_at.has_value())
+    told_at = m_now;
+}
+
+void PlatformFleetSimulation::ForgetToldLeaving(size_t instance) {
+  for (FakeEndpoint& endpoint : m_endpoints)
+    endpoint.told_leaving_at[instance].reset();
+}
+
+void PlatformFleetSimulation::ForgetHoldOffs(size_t instance) {
+  for (FakeEndpoint& endpoint : m_endpoints)
+    endpoint.hold_offs[instance] = HoldOff();
+}
+
+void PlatformFleetSimulation::StartHoldOff(FakeEndpoint& endpoint, size_t instance) {
+  HoldOff& hold_off = endpoint.hold_offs[instance];
+  if (m_now >= hold_off.until)
+    hold_off = {m_now + kHoldOffGrace, m_now, 0};
+  hold_off.until = m_now + kHoldOffDuration;
+}
+
+void PlatformFleetSimulation::CheckHoldOff(FakeEndpoint& endpoint, size_t instance) {
+  HoldOff& hold_off = endpoint.hold_offs[instance];
+  if (m_now <= hold_off.from || m_now >= hold_off.until)
+    return;
+  ++hold_off.requests;
+  if (hold_off.requests > kMaxRequestsInHoldOff)
+    ReportViolation(fmt::format("{} received {} requests from i{} although it wants none", endpoint.name,
+                                hold_off.requests, instance));
+}
+
 void PlatformFleetSimulation::Crash(size_t address) {
   FakeEndpoint& endpoint = m_endpoints[address];
   if (!endpoint.up)
@@ -329,6 +386,11 @@
     return;
   endpoint.incarnation = ++m_last_incarnation;
   endpoint.requests_running = 0;
+  endpoint.says_leaving = false;
+  endpoint.tells_probes = true;
+  endpoint.told_leaving_at = {};
+  endpoint.holds_off = false;
+  endpoint.hold_offs = {};
   PutEntry(address);
 }
 
@@ -376,6 +438,23 @@
   if (notice_overdue && IsUndisturbed(call.instance))
     ReportViolation(
         fmt::format("{} received a call from i{} too long after it began to leave", endpoint.name, call.instance));
+  const std::optional<TimePoint>& told_at = endpoint.told_leaving_at[call.instance];
+  const bool same_process = m_instances[call.instance].incarnation == call.incarnation;
+  if (told_at.has_value() && same_process && call.sent_at > *told_at + kMaxLeavingNoticeDelay)
+    ReportViolation(
+        fmt::format("{} received a call from i{} long after it told it that it leaves", endpoint.name, call.instance));
+}
+
+void PlatformFleetSimulation::CheckNoFalseLeavingMarks(size_t index) {
+  const State& state = *m_instances[index].state;
+  for (uint32_t position = 0; position < state.EndpointCount(); ++position) {
+    const EndpointHandle handle(position);
+    for (const FakeEndpoint& endpoint : m_endpoints) {
+      const bool serving = endpoint.up && !endpoint.says_leaving && !endpoint.draining;
+      if (serving && endpoint.name == state.EndpointConfig(handle).name && state.IsLeaving(handle))
+        ReportViolation(fmt::format("i{} takes {} for leaving, but it serves", index, endpoint.name));
+    }
+  }
 }
 
 void PlatformFleetSimulation::CheckGenerations() {
@@ -417,6 +496,7 @@
                                   m_store.Latest().generation));
     if (instance.state->CallsInProgress() > 0)
       ReportViolation(fmt::format("i{} has calls in progress that never ended", i));
+    CheckNoFalseLeavingMarks(i);
     std::map<std::string, bool> known;
     for (const EndpointChange& endpoint : instance.state->KnownEndpoints())
       known[endpoint.row.name] = endpoint.kind == EndpointChange::Kind::kLeaving;
--- a/libs/core/tests/platform_fleet_simulation.h
+++ b/libs/core/tests/platform_fleet_simulation.h
@@ -38,6 +38,7 @@
   static constexpr size_t kInstances = 5;
   static constexpr size_t kAddresses = 8;
   static constexpr Millis kCallDeadline{1'500};
+  static constexpr Millis kHoldOffDuration{1'500};
 
   explicit PlatformFleetSimulation(uint64_t seed);
   ~PlatformFleetSimulation();
@@ -75,6 +76,11 @@
   void MoveRoute();
   /** Makes the endpoint at the address announce that it is leaving; it serves for kDrainDuration and exits. */
   void Drain(size_t address);
+  /**
+   * Makes the endpoint at the address say in its answers to calls that it is leaving, without a word to the store or to
+   * probes; it serves for kSilentLeaveDuration and exits.
+   */
+  void LeaveWithoutNotice(size_t address);
   /** Ends the endpoint at once; its entry stays in the store until its lease expires. */
   void Crash(size_t address);
   /** Starts a new endpoint at a free address, for service "s" or the other service "t". */
@@ -83,6 +89,8 @@
   void RestartEndpoint(size_t address);
   /** Writes an unreadable entry, as another writer would, under a name that no endpoint has. */
   void WriteDamagedEntry();
+  /** Sets whether the endpoint refuses all calls and wants no requests for kHoldOffDuration after each refusal. */
+  void SetHoldsOff(size_t address, bool holds_off) { m_endpoints[address].holds_off = holds_off; }
   void SetLosesAnswers(size_t address, bool loses_answers) { m_endpoints[address].loses_answers = loses_answers; }
   void SetGossipDropRate(double rate) { m_gossip_drop_rate = rate; }
 
@@ -123,17 +131,31 @@
     /** Since when no failure has been injected into the instance. */
     TimePoint undisturbed_since;
   };
+  /** Time in which an endpoint wants no requests from one instance, and the requests that it got all the same. */
+  struct HoldOff {
+    TimePoint from{};
+    TimePoint until{};
+    size_t requests = 0;
+  };
   /** The endpoint that listens at one address, or listened there last. */
   struct FakeEndpoint {
     std::string name;
     bool other_service = false;
     bool up = false;
     bool draining = false;
+    /** Whether its answers say that it is leaving, and whether those to probes do too. */
+    bool says_leaving = false;
+    bool tells_probes = true;
     bool loses_answers = false;
+    bool holds_off = false;
     uint64_t incarnation = 0;
     size_t requests_running = 0;
     /** When the store acknowledged that the endpoint is leaving. */
     std::optional<TimePoint> leave_acknowledged_at;
+    /** When each instance was first told by an answer that the endpoint is leaving; reset if it restarts or pauses. */
+    std::array<std::optional<TimePoint>, kInstances> told_leaving_at;
+    /** By instance; reset if it restarts, pauses or loses its connections. */
+    std::array<HoldOff, kInstances> hold_offs;
     /** When another endpoint may start at the address. */
     TimePoint reusable_at{};
   };
@@ -198,13 +220,25 @@
                      size_t call,
                      size_t instance,
                      const Effect::Dispatch& dispatch,
-                     const std::string& name);
+                     const std::string& name,
+                     uint64_t known_incarnation);
   void DeliverAttemptEnd(size_t instance,
                          size_t call,
                          const Effect::Dispatch& dispatch,
                          AttemptResult result,
-                         bool is_wrong_endpoint);
+                         bool is_wrong_endpoint,
+                         const LoadReport& load);
   LoadReport MakeLoadReport(const FakeEndpoint& endpoint) const;
+  /** Records that an answer of this incarnation of the endpoint told the instance that the endpoint is leaving. */
+  void RecordToldLeaving(size_t address, uint64_t incarnation, size_t instance);
+  /** Excuses the instance from what answers told it before, because it restarts or pauses. */
+  void ForgetToldLeaving(size_t instance);
+  void ForgetHoldOffs(size_t instance);
+  /** Records that the endpoint wants no requests from the instance for kHoldOffDuration. */
+  void StartHoldOff(FakeEndpoint& endpoint, size_t instance);
+  /** Counts a call or probe that arrives at the endpoint, and reports a violation if too many come while held off. */
+  void CheckHoldOff(FakeEndpoint& endpoint, size_t instance);
+  void CheckNoFalseLeavingMarks(size_t instance);
   void CheckRun(const FakeEndpoint& endpoint, const CallRecord& call);
   void CheckGenerations();
   void ReportViolation(const std::string& what);
--- a/libs/entry/src/prober.cc
+++ b/libs/entry/src/prober.cc
@@ -36,6 +36,8 @@
 
 asio::awaitable<void> Prober::Run(Effect::SendProbe probe, std::string name, std::string address, std::string path) {
   Event::ProbeEnded ended;
+  // The incarnation known now: the endpoint may have restarted when an answer arrives.
+  const uint64_t incarnation = m_engine.GetState().EndpointIncarnation(probe.endpoint);
   ended.endpoint = probe.endpoint;
   ended.call = probe.call;
   bool reused = false;
@@ -43,6 +45,8 @@
   // Retries: the endpoint may have closed the idle connection, which says nothing about its health.
   if (error && error != beast::error::timeout && reused)
     error = co_await SendAndReceive(name, address, path, probe.not_after, reused, ended);
+  if (ended.load.incarnation == 0)
+    ended.load.incarnation = incarnation;
   ended.now = m_engine.Now();
   m_engine.Post(ended);
 }
@@ -69,9 +73,11 @@
   }
   http::request<http::empty_body> request(http::verb::get, path, 11);
   request.set(http::field::host, address);
-  // Checked right before sending: the process may have been paused since the probe was scheduled.
-  if (m_engine.Now() >= not_after) {
+  // Checked right before sending: the process may have been paused, or the endpoint may have asked for no requests.
+  const TimePoint now = m_engine.Now();
+  if (now >= not_after || m_engine.GetState().IsHeldOff(ended.endpoint, now)) {
     ++m_withdrawn;
+    ended.withdrawn = true;
     co_return error;
   }
   ++m_sent;
--- a/tests/process/platform_test.py
+++ b/tests/process/platform_test.py
@@ -66,6 +66,36 @@
     run_under_load(3, leave)
 
 
+# Guards against forgetting, at a change of any endpoint, that an answer said that its endpoint leaves.
+def test_platform_an_endpoint_that_says_only_in_answers_that_it_leaves_gets_no_work():
+    async def leave(fleet):
+        endpoint = next(iter(fleet.endpoints.values()))
+        endpoint.says_leaving = True
+        leaving_since = time.monotonic()
+        await asyncio.sleep(1.0)
+        await fleet.add_endpoint("orders", "a")
+        await asyncio.sleep(3.0)
+        late = [run for run in fleet.runs if run.endpoint == endpoint.name and run.arrived_at > leaving_since + 3.4]
+        assert not late, late[0].request_id
+    run_under_load(8, leave)
+
+
+# Guards against sending requests to an endpoint that asked for none for a while.
+def test_platform_endpoints_that_hold_off_requests_get_next_to_none():
+    async def hold_off(fleet):
+        held_off = [endpoint for endpoint in fleet.endpoints.values() if endpoint.service == "shop"]
+        for endpoint in held_off:
+            endpoint.hold_off_s = 2.0
+        await asyncio.sleep(5.0)
+        assert all(endpoint.refusals for endpoint in held_off)
+        for endpoint in held_off:
+            endpoint.hold_off_s = 0.0
+        runs_before = len(fleet.runs)
+        await asyncio.sleep(3.0)
+        assert any(run.service == "shop" for run in fleet.runs[runs_before:])
+    run_under_load(9, hold_off)
+
+
 def test_platform_planned_stops_cut_nothing():
     async def stop(fleet):
         for seed in range(2):
