Bound the interim responses ahead of an answer

An endpoint that sends interim responses (1xx) without end kept an attempt reading until the deadline. The test, with 64 MiB as the most that the endpoint sends, failed before:

endless_answer_test.cc:88: ERROR: CHECK( sent < kBoundedBytes ) is NOT correct! values: CHECK( < ) logged: answer.name := interim responses

The other answers without end (no HTTP, header value, headers, reason, answers to other requests) passed: the limits on heads and on skipped answers hold.

--- a/libs/entry/src/attempt.cc
+++ b/libs/entry/src/attempt.cc
@@ -23,6 +23,8 @@
 constexpr size_t kMaxBufferedResponseBytes = 128u << 10u;
 /** Most responses to earlier requests that one attempt skips before it fails. */
 constexpr int kMaxMismatchedResponses = 2;
+/** Most interim responses (1xx) ahead of a response; an endpoint could send them without end. */
+constexpr int kMaxInterimResponses = 8;
 /** Most reads spent on discarding a response body so that its connection can be reused. */
 constexpr int kMaxDiscardReads = 64;
 constexpr uint32_t kMaxResponseHeadBytes = 32u << 10u;
@@ -189,14 +191,16 @@
 asio::awaitable<error_code> Attempt::ReadResponseHead() {
   const bool head_request = m_exchange.Request().get().method() == http::verb::head;
   error_code error;
-  do {
+  for (int interim = 0; interim <= kMaxInterimResponses; ++interim) {
     m_response.emplace();
     m_response->header_limit(kMaxResponseHeadBytes);
     m_response->body_limit(boost::none);
     m_response->skip(head_request);
     co_await http::async_read_header(m_connection->stream, m_connection->buffer, *m_response, AwaitWithError(error));
-  } while (!error && http::to_status_class(m_response->get().result()) == http::status_class::informational);
-  co_return error;
+    if (error || http::to_status_class(m_response->get().result()) != http::status_class::informational)
+      co_return error;
+  }
+  co_return http::error::bad_status;
 }
 
 asio::awaitable<error_code> Attempt::ReadMatchingResponseHead(ResponseKind& kind) {
--- /dev/null
+++ b/libs/entry/tests/scripted_endpoint.h
@@ -0,0 +1,78 @@
+#pragma once
+
+#include <functional>
+#include <string>
+#include <utility>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
+
+#include "http_types.h"
+
+namespace sassafras {
+
+/** An endpoint on a loopback address that plays a script for each request that it reads. */
+class ScriptedEndpoint {
+ public:
+  using Request = http::request<http::string_body>;
+  /** Plays the answer to one request; returns whether the connection stays open for another one. */
+  using Script = std::function<asio::awaitable<bool>(asio::ip::tcp::socket&, const Request&)>;
+
+  ScriptedEndpoint(asio::io_context& context, Script script)
+      : m_acceptor(context, {asio::ip::address_v4::loopback(), 0}), m_script(std::move(script)) {
+    asio::co_spawn(context, Accept(), asio::detached);
+  }
+
+  std::string Address() const { return "127.0.0.1:" + std::to_string(m_acceptor.local_endpoint().port()); }
+  size_t RequestCount() const { return m_requests; }
+  size_t ConnectionCount() const { return m_connections; }
+  size_t OpenConnectionCount() const { return m_open_connections; }
+
+ private:
+  asio::awaitable<void> Accept() {
+    error_code error;
+    while (true) {
+      asio::ip::tcp::socket socket(m_acceptor.get_executor());
+      co_await m_acceptor.async_accept(socket, AwaitWithError(error));
+      if (error)
+        co_return;
+      ++m_connections;
+      ++m_open_connections;
+      asio::co_spawn(m_acceptor.get_executor(), Serve(std::move(socket)), asio::detached);
+    }
+  }
+
+  asio::awaitable<void> Serve(asio::ip::tcp::socket socket) {
+    beast::flat_buffer buffer;
+    error_code error;
+    socket.set_option(asio::ip::tcp::no_delay(true), error);
+    bool open = true;
+    while (open) {
+      Request request;
+      co_await http::async_read(socket, buffer, request, AwaitWithError(error));
+      if (error)
+        break;
+      ++m_requests;
+      open = co_await m_script(socket, request);
+    }
+    --m_open_connections;
+  }
+
+  asio::ip::tcp::acceptor m_acceptor;
+  Script m_script;
+  size_t m_requests = 0;
+  size_t m_connections = 0;
+  size_t m_open_connections = 0;
+};
+
+/** Writes all of `bytes`; returns whether that succeeded. */
+inline asio::awaitable<bool> WriteBytes(asio::ip::tcp::socket& socket, std::string bytes) {
+  error_code error;
+  co_await asio::async_write(socket, asio::buffer(bytes), AwaitWithError(error));
+  co_return !error;
+}
+
+}  // namespace sassafras
