--- a/libs/entry/tests/endless_answer_test.cc
+++ b/libs/entry/tests/endless_answer_test.cc
@@ -34,6 +34,7 @@
 }
 
 const std::vector<EndlessAnswer>& AnswersWithoutEnd() {
+  static const std::string chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
   static const std::string stray = "HTTP/1.1 200 OK\r\nSassafras-Request-Id: other\r\nContent-Length: 0\r\n\r\n";
   static const std::vector<EndlessAnswer> answers = {
       {"no HTTP", "no answer", Repeated("x")},
@@ -41,6 +42,8 @@
       {"headers", "HTTP/1.1 200 OK\r\n", Repeated("X-Filler: x\r\n")},
       {"reason", "HTTP/1.1 200 ", Repeated("x")},
       {"interim responses", "", Repeated("HTTP/1.1 100 Continue\r\n\r\n")},
+      {"chunk extension", chunked + "5;", Repeated("x")},
+      {"trailers", chunked + "0\r\n", Repeated("X-Filler: x\r\n")},
       {"answers to other requests", "", Repeated(stray)},
   };
   return answers;
