End the relay of a body at the deadline

A body without end was relayed for as long as the endpoint sent it: the timer of a Beast stream is armed anew for each read, and where bytes are always ready, each read completes and cancels it before its handler runs. The loop now looks at the clock itself. The test's clock advances with the bytes sent. Failed before, with 64 MiB as the most sent:

endless_answer_test.cc:113: ERROR: CHECK( sent < (size_t{kDeadline.count()} << 16u) + kBoundedBytes ) is NOT correct! values: CHECK( < ) logged: answer.name := length endless_answer_test.cc:112: ERROR: CHECK_FALSE( received.whole ) is NOT correct! logged: answer.name := no length

--- a/libs/entry/src/attempt.cc
+++ b/libs/entry/src/attempt.cc
@@ -306,6 +306,9 @@
     co_await http::async_read_some(m_connection->stream, m_connection->buffer, *m_response, AwaitWithError(error));
     if (error == http::error::need_buffer)
       error = {};
+    // The timer of the stream may never be seen to fire while bytes are always ready to be read.
+    if (!error && !m_response->is_done() && m_engine.Now() >= m_target.deadline)
+      error = beast::error::timeout;
     if (error && m_exchange.ResponseStarted()) {
       const AttemptResult failed = ResultForError(error);
       co_return failed == AttemptResult::kBroken || failed == AttemptResult::kMalformed ? AttemptResult::kBrokenInAnswer
--- a/libs/entry/tests/endless_answer_test.cc
+++ b/libs/entry/tests/endless_answer_test.cc
@@ -92,6 +92,32 @@
   }
 }
 
+// Guards against a body that is relayed for as long as an endpoint sends it.
+TEST_CASE("a body that has no end is relayed until the deadline and never looks complete") {
+  const EchoingDialect dialect;
+  const std::string id = "Sassafras-Request-Id: own\r\n";
+  const std::vector<EndlessAnswer> answers = {
+      {"no length", "HTTP/1.1 200 OK\r\n" + id + "\r\n", Repeated("x")},
+      {"length", "HTTP/1.1 200 OK\r\n" + id + "Content-Length: 1000000000\r\n\r\n", Repeated("x")},
+      {"chunks", "HTTP/1.1 200 OK\r\n" + id + "Transfer-Encoding: chunked\r\n\r\n",
+       "400\r\n" + std::string(1'024, 'x') + "\r\n"},
+  };
+  for (const EndlessAnswer& answer : answers) {
+    CAPTURE(answer.name);
+    CallFixture fixture(dialect);
+    size_t sent = 0;
+    ScriptedEndpoint& endpoint = fixture.AddEndpoint(PlayEndlessly(answer, fixture.GetClock(), sent));
+    fixture.Serve(Repeat::kSafe, kDeadline);
+    const ReceivedAnswer received = fixture.Call("own");
+    fixture.RunUntilClosed(endpoint);
+    CHECK_FALSE(received.whole);
+    CHECK(sent < (size_t{kDeadline.count()} << 16u) + kBoundedBytes);
+    CHECK(endpoint.RequestCount() == 1);
+    CHECK(fixture.Pool().IdleCount() == 0);
+    CHECK(fixture.GetEngine().GetState().CallsInProgress() == 0);
+  }
+}
+
 // Guards against an endpoint that sends nonsense keeping its share of the calls.
 TEST_CASE("an endpoint that answers with bytes without end is soon avoided") {
   const NativeDialect dialect;
