Frame a relayed body that the endpoint did not frame

A large body that only the end of the endpoint's connection delimits was passed on without a length and without chunks, on a connection that stayed open: its caller could not see the end and waited until the idle timeout. It is now sent in chunks, so that a caller also tells a whole body from one that broke off. Failed before:

broken_answer_test.cc:146: ERROR: CHECK( received.framed ) is NOT correct! values: CHECK( false ) logged: answer := HTTP/1.1 200 OK, Sassafras-Request-Id: own, no length

The other tests of this file passed before the change: no answer with a length, in chunks or reset looks whole when it ends at any byte, small (every byte) or large (relayed; all bytes near both ends, some between).

--- a/libs/entry/src/attempt.cc
+++ b/libs/entry/src/attempt.cc
@@ -268,8 +268,12 @@
   answer.keep_alive(m_exchange.KeepAlive());
   if (m_target.record_answer)
     StartRecording(answer);
-  if (!m_response->is_done())
+  if (!m_response->is_done()) {
+    // The caller's connection may stay open, so its end cannot delimit the body as the endpoint's does.
+    if (m_response->need_eof())
+      answer.chunked(true);
     co_return co_await RelayRemainingBody(answer);
+  }
   // Responses to HEAD, and 204 and 304, have no body even if Content-Length says otherwise.
   const bool has_body = !m_body.empty() || m_response->need_eof() || m_response->chunked();
   if (has_body) {
