Do not reuse a connection after an interim answer to a probe

A probe took an interim response (1xx) for its final answer and returned the connection to the pool, where the final answer arrived late and became the answer of the next call. Failed before:

late_answer_test.cc:172: ERROR: CHECK( fixture.Call("a").body == "a" ) is NOT correct! values: CHECK( health == a )

The other tests of this file passed before the change: second copies of answers, refusals and probe answers, whole and cut, on idle connections and on those in use again, and the late first answer of a call that was sent again reach no other call.

--- a/libs/entry/src/prober.cc
+++ b/libs/entry/src/prober.cc
@@ -85,7 +85,9 @@
   if (error)
     co_return error;
   const http::response<http::string_body>& response = parser.get();
-  if (m_dialect.IsMismatchedProbeResponse(response, name))
+  // After an interim response the final one still follows: the next request on the connection would receive it.
+  const bool interim = http::to_status_class(response.result()) == http::status_class::informational;
+  if (interim || m_dialect.IsMismatchedProbeResponse(response, name))
     co_return http::error::bad_value;
   ended.load = m_dialect.ReadLoad(response);
   ended.load.unhealthy = response.result() != http::status::ok;
