--- a/libs/entry/tests/call_fixture.h
+++ b/libs/entry/tests/call_fixture.h
@@ -38,7 +38,8 @@
 
 /**
  * An entry instance without its control links, between callers and scripted endpoints on loopback connections. Its
- * clock moves only when a test or a script advances it, and the socket timers, which follow real time, never fire.
+ * clock moves when a test or a script advances it and while nothing happens; socket timers, which follow real time, do
+ * not fire.
  */
 class CallFixture {
  public:
@@ -109,16 +110,39 @@
     RunUntil([&] { return m_ended_sessions > sessions; });
   }
 
+  /**
+   * Sends `head` and then bytes without end on a connection of its own, until it is closed or `most` bytes are sent.
+   * @return the bytes sent
+   */
+  size_t SendWithoutEnd(const std::string& head, size_t most) {
+    asio::ip::tcp::socket caller(m_context);
+    Connect(caller);
+    size_t sent = 0;
+    bool done = false;
+    asio::co_spawn(m_context, KeepSending(caller, head, most, sent, done), asio::detached);
+    RunUntil([&] { return done; });
+    return sent;
+  }
+
+  /** Sets the clock to real time, at which it stays: the next deadlines are those of socket timers too. */
+  void SetClockToRealTime() { m_clock.Advance(std::chrono::steady_clock::now() - m_clock.Now()); }
+
   /** Runs until no connection to `endpoint` is open. */
   void RunUntilClosed(const ScriptedEndpoint& endpoint) {
     RunUntil([&] { return endpoint.OpenConnectionCount() == 0; });
   }
 
-  /** Runs until `condition` holds. */
+  /** Runs until `condition` holds. While nothing happens, time passes, so that waiting calls come to their end. */
   template <typename Condition>
   void RunUntil(Condition condition) {
-    while (!condition())
-      m_context.run_one();
+    constexpr std::chrono::milliseconds kQuiet{20};
+    constexpr std::chrono::milliseconds kTickPeriod{50};
+    while (!condition()) {
+      if (m_context.run_one_for(kQuiet) > 0)
+        continue;
+      m_clock.Advance(kTickPeriod);
+      m_engine.Post(Event::Tick{m_clock.Peek()});
+    }
   }
 
  private:
@@ -153,6 +177,19 @@
     return clock;
   }
 
+  static asio::awaitable<void> KeepSending(asio::ip::tcp::socket& caller,
+                                           std::string bytes,
+                                           size_t most,
+                                           size_t& sent,
+                                           bool& done) {
+    error_code error;
+    while (!error && sent < most) {
+      sent += co_await asio::async_write(caller, asio::buffer(bytes), AwaitWithError(error));
+      bytes.assign(4'096, 'x');
+    }
+    done = true;
+  }
+
   static asio::awaitable<void> SendAndReceive(asio::ip::tcp::socket& caller,
                                               const std::string& request,
                                               ReceivedAnswer& answer,
--- a/libs/entry/tests/manual_clock.h
+++ b/libs/entry/tests/manual_clock.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <cstddef>
+
 #include "base/clock.h"
 
 namespace sassafras {
@@ -7,11 +9,26 @@
 /** Clock that only moves when a test advances it. */
 class ManualClock final : public Clock {
  public:
-  TimePoint Now() const override { return m_now; }
+  TimePoint Now() const override {
+    if (m_reads_until_pause > 0 && --m_reads_until_pause == 0)
+      m_now += m_pause;
+    return m_now;
+  }
   void Advance(Duration time) { m_now += time; }
+  /** Lets the `read`-th reading from now on find `pause` gone by, as if the process had been paused before it. */
+  void PauseBefore(size_t read, Duration pause) {
+    m_reads_until_pause = read;
+    m_pause = pause;
+  }
+  /** Whether the pause that was set has not come yet. */
+  bool IsPausePending() const { return m_reads_until_pause > 0; }
+  /** The time, for a test: not counted as a reading. */
+  TimePoint Peek() const { return m_now; }
 
  private:
-  TimePoint m_now{std::chrono::hours(1)};
+  mutable TimePoint m_now{std::chrono::hours(1)};
+  mutable size_t m_reads_until_pause = 0;
+  Duration m_pause{};
 };
 
 }  // namespace sassafras
--- a/libs/entry/tests/scripted_endpoint.h
+++ b/libs/entry/tests/scripted_endpoint.h
@@ -26,6 +26,9 @@
     asio::co_spawn(context, Accept(), asio::detached);
   }
 
+  /** From now on, plays the script once the head of a request is read, and reads the body after it. */
+  void AnswerAfterHead() { m_answers_after_head = true; }
+
   std::string Address() const { return "127.0.0.1:" + std::to_string(m_acceptor.local_endpoint().port()); }
   size_t RequestCount() const { return m_requests; }
   size_t ConnectionCount() const { return m_connections; }
@@ -51,18 +54,24 @@
     socket.set_option(asio::ip::tcp::no_delay(true), error);
     bool open = true;
     while (open) {
-      Request request;
-      co_await http::async_read(socket, buffer, request, AwaitWithError(error));
+      http::request_parser<http::string_body> parser;
+      parser.body_limit(boost::none);
+      co_await http::async_read_header(socket, buffer, parser, AwaitWithError(error));
+      if (!error && !m_answers_after_head)
+        co_await http::async_read(socket, buffer, parser, AwaitWithError(error));
       if (error)
         break;
       ++m_requests;
-      open = co_await m_script(socket, request);
+      open = co_await m_script(socket, parser.get());
+      if (open && !parser.is_done())
+        co_await http::async_read(socket, buffer, parser, AwaitWithError(error));
     }
     --m_open_connections;
   }
 
   asio::ip::tcp::acceptor m_acceptor;
   Script m_script;
+  bool m_answers_after_head = false;
   size_t m_requests = 0;
   size_t m_connections = 0;
   size_t m_open_connections = 0;
