--- a/libs/entry/tests/broken_answer_test.cc
+++ b/libs/entry/tests/broken_answer_test.cc
@@ -61,6 +61,8 @@
     co_await WriteBytes(socket, answer.substr(0, cut.bytes));
     if (cut.ending == Ending::kReset)
       socket.set_option(asio::socket_base::linger(true, 0), ignored);
+    // The destructor of a socket would turn the option off and close in the orderly way.
+    socket.close(ignored);
     co_return false;
   };
 }
--- a/libs/entry/tests/late_answer_test.cc
+++ b/libs/entry/tests/late_answer_test.cc
@@ -1,6 +1,7 @@
 #include <doctest/doctest.h>
 
 #include <chrono>
+#include <cstdint>
 #include <string>
 
 #include "call_fixture.h"
@@ -153,15 +154,17 @@
 TEST_CASE("the final answer to a probe that follows an interim one reaches no call") {
   const NativeDialect dialect;
   CallFixture fixture(dialect);
-  asio::ip::tcp::socket* probed = nullptr;
+  uint16_t probed_port = 0;
   const auto answer = [&](asio::ip::tcp::socket& socket,
                           const ScriptedEndpoint::Request& request) -> asio::awaitable<bool> {
-    const bool probe = request.target() == "/probe";
-    if (probe)
-      probed = &socket;
-    std::string bytes = probe ? "HTTP/1.1 102 Processing\r\n\r\n" : AnswerTo(IdOf(request));
+    const uint16_t port = socket.remote_endpoint().port();
+    std::string bytes = "HTTP/1.1 102 Processing\r\n\r\n";
+    if (request.target() == "/probe")
+      probed_port = port;
+    else
+      bytes = AnswerTo(IdOf(request));
     // The answer to the probe becomes ready only now, after the request of a call was read.
-    if (!probe && probed == &socket)
+    if (request.target() != "/probe" && port == probed_port)
       bytes = AnswerTo("health") + bytes;
     const bool written = co_await WriteBytes(socket, bytes);
     co_return written;
@@ -170,7 +173,7 @@
   fixture.Serve(Repeat::kSafe, kDeadline);
   Prober prober(fixture.Context().get_executor(), fixture.GetEngine(), fixture.Pool(), dialect);
   prober.Send({EndpointHandle(0), TimePoint::max(), {}});
-  fixture.RunUntil([&] { return probed != nullptr; });
+  fixture.RunUntil([&] { return probed_port != 0; });
   // The prober either closes the connection or takes the interim answer for the final one.
   fixture.RunUntil([&] { return endpoint.OpenConnectionCount() == 0 || fixture.Pool().IdleCount() > 0; });
   CHECK(fixture.Call("a").body == "a");
