Answer requests on connections that wait to be accepted at a planned stop

When a stopping instance closed its listeners, the connections in their accept queues were reset, and a session whose coroutine had not begun when it was told to close ended without a look at its connection; one that was accepted in that instant was dropped.

Now waiting connections are accepted before a listener is closed, and sessions are told to close once they have started to read.

The test no longer asks for 503: the instance, which was stopped before it had plans, says "not run" with 404, since caller_session.cc takes only the starting phase for one without plans.

--- a/libs/entry/src/entry_instance.cc
+++ b/libs/entry/src/entry_instance.cc
@@ -9,6 +9,7 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <fmt/format.h>
 
@@ -139,7 +140,13 @@
   }
   absl::Status Listen(const std::string& address, std::string_view setting, SessionKind kind, const AdminPages& pages);
   asio::awaitable<void> Accept(Listener& listener);
-  asio::awaitable<void> Serve(asio::ip::tcp::socket socket, const Listener& listener);
+  /** Starts a session on an accepted connection. */
+  void StartSession(asio::ip::tcp::socket socket, const Listener& listener);
+  asio::awaitable<void> Serve(std::shared_ptr<CallerSession> session);
+  /** Starts sessions for the connections that wait to be accepted: closing the listener would reset them. */
+  void AcceptWaiting(Listener& listener);
+  /** Ends a session that was started before, once requests that have arrived are answered. */
+  void CloseSession(CallerSession& session);
   void ScheduleTick();
   void OnEventQueueEmpty();
   void ScheduleSweep();
@@ -211,7 +218,7 @@
     error_code error;
     asio::ip::tcp::socket socket(m_context);
     co_await acceptor.async_accept(socket, AwaitWithError(error));
-    if (error == asio::error::operation_aborted || !acceptor.is_open())
+    if (error == asio::error::operation_aborted)
       co_return;
     if (error || m_sessions.size() >= m_settings.caller_connections) {
       // Out of file descriptors or at the connection limit: retries after a pause; callers wait in the backlog.
@@ -220,20 +227,45 @@
       co_await pause.async_wait(AwaitWithError(error));
       continue;
     }
-    asio::co_spawn(m_context, Serve(std::move(socket), listener), asio::detached);
+    StartSession(std::move(socket), listener);
   }
 }
 
-asio::awaitable<void> EntryInstance::Impl::Serve(asio::ip::tcp::socket socket, const Listener& listener) {
-  const auto session =
+void EntryInstance::Impl::StartSession(asio::ip::tcp::socket socket, const Listener& listener) {
+  auto session =
       std::make_shared<CallerSession>(std::move(socket), m_engine, m_pool, Dialect(), listener.pages, listener.kind,
                                       duration_cast<milliseconds>(m_settings.connect_timeout));
   m_sessions.insert(session.get());
+  asio::co_spawn(m_context, Serve(session), asio::detached);
+  if (m_closing)
+    CloseSession(*session);
+}
+
+asio::awaitable<void> EntryInstance::Impl::Serve(std::shared_ptr<CallerSession> session) {
   co_await session->Run();
   m_sessions.erase(session.get());
   FinishIfIdle();
 }
 
+void EntryInstance::Impl::AcceptWaiting(Listener& listener) {
+  error_code error;
+  listener.acceptor.non_blocking(true, error);
+  while (!error && m_sessions.size() < m_settings.caller_connections) {
+    asio::ip::tcp::socket socket(m_context);
+    listener.acceptor.accept(socket, error);
+    if (!error)
+      StartSession(std::move(socket), listener);
+  }
+}
+
+void EntryInstance::Impl::CloseSession(CallerSession& session) {
+  // Posted, because the session may not have begun to read yet: it would then end without a look at its connection.
+  asio::post(m_context, [weak = session.weak_from_this()] {
+    if (const auto started = weak.lock())
+      started->Close();
+  });
+}
+
 void EntryInstance::Impl::ScheduleTick() {
   const TimePoint now = m_engine.Now();
   m_tick_at = m_engine.GetState().NextTick(now);
@@ -302,11 +334,13 @@
 void EntryInstance::Impl::OnEffect(const Effect::CloseListeners& /*effect*/) {
   m_closing = true;
   Log(LogLevel::kInfo, "closing", {{"calls_in_progress", std::to_string(m_engine.GetState().CallsInProgress())}});
+  for (CallerSession* session : m_sessions)
+    CloseSession(*session);
   error_code ignored;
-  for (Listener& listener : m_listeners)
+  for (Listener& listener : m_listeners) {
+    AcceptWaiting(listener);
     listener.acceptor.close(ignored);
-  for (CallerSession* session : m_sessions)
-    session->Close();
+  }
 }
 
 void EntryInstance::Impl::FinishIfIdle() {
--- /dev/null
+++ b/libs/entry/tests/planned_stop_test.cc
@@ -0,0 +1,87 @@
+#include <doctest/doctest.h>
+
+#include <chrono>
+#include <deque>
+#include <string>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
+
+#include "base/system_clock.h"
+#include "entry/entry_instance.h"
+#include "http_types.h"
+#include "settings/settings.h"
+
+namespace sassafras {
+namespace {
+
+/** An address on which nothing listens. */
+std::string FreeAddress(asio::io_context& context) {
+  const asio::ip::tcp::acceptor acceptor(context, {asio::ip::address_v4::loopback(), 0});
+  return "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
+}
+
+Settings MakeSettings(asio::io_context& context) {
+  Settings settings;
+  settings.instance = "i0";
+  settings.failure_domain = "a";
+  settings.listen = FreeAddress(context);
+  settings.peer_listen = FreeAddress(context);
+  settings.platform = {FreeAddress(context)};
+  settings.address_ttl = std::chrono::seconds(1);
+  settings.connect_timeout = std::chrono::milliseconds(100);
+  settings.stop_limit = std::chrono::seconds(60);
+  settings.gossip_period = std::chrono::milliseconds(250);
+  settings.queue_limit = 100;
+  settings.caller_connections = 1'000;
+  settings.fleet_limit = 24;
+  settings.record_limit = 100;
+  return settings;
+}
+
+/** Reads what is left on a connection until its end. */
+std::string ReadAll(asio::ip::tcp::socket& caller) {
+  std::string received;
+  error_code error;
+  while (!error) {
+    char bytes[1'024];
+    const size_t size = caller.read_some(asio::buffer(bytes), error);
+    received.append(bytes, size);
+  }
+  return received;
+}
+
+// Guards against requests that are reset with the accept queue when a stopping instance closes its listeners.
+TEST_CASE("requests on connections that wait to be accepted at a planned stop are answered") {
+  constexpr size_t kCallers = 60;
+  const std::string whole = "GET /x HTTP/1.1\r\nHost: h\r\n\r\n";
+  asio::io_context caller_context;
+  std::deque<asio::ip::tcp::socket> callers;
+  {
+    asio::io_context context;
+    const SystemClock clock;
+    const Settings settings = MakeSettings(context);
+    EntryInstance instance(context, settings, clock);
+    REQUIRE(instance.Start().ok());
+    const size_t colon = settings.listen.find(':');
+    const auto port = static_cast<uint16_t>(std::stoi(settings.listen.substr(colon + 1)));
+    for (size_t i = 0; i < kCallers; ++i) {
+      callers.emplace_back(caller_context).connect({asio::ip::address_v4::loopback(), port});
+      asio::write(callers.back(), asio::buffer(whole));
+    }
+    // The instance has accepted none of them yet; it never served, so it closes its listeners at once.
+    instance.RequestStop();
+    context.run();
+    CHECK(instance.AbortedRequestCount() == 0);
+  }
+  for (size_t i = 0; i < kCallers; ++i) {
+    CAPTURE(i);
+    const std::string received = ReadAll(callers[i]);
+    CHECK(received.starts_with("HTTP/1.1 "));
+    CHECK(received.find("not_run") != std::string::npos);
+  }
+}
+
+}  // namespace
+}  // namespace sassafras
