--- a/Makefile
+++ b/Makefile
@@ -4,8 +4,9 @@
 SOURCES = $(shell git ls-files 'libs/*.cc' 'libs/*.h' 'daemons/*.cc' 'daemons/*.h' 'tools/*.cc' 'tools/*.h' 'bench/*.cc' 'tests/*.cc' 'tests/*.h' 'platform/*.cc' 'platform/*.h' | grep -v generated/)
 SEED ?= 1
 MINUTES ?= 1
+SECONDS ?= 60
 
-.PHONY: deps build demo test test-unit test-process lint format bench soak fault-soak mutants test-asan install clean
+.PHONY: deps build demo test test-unit test-process lint format bench soak fault-soak fuzz mutants test-asan install clean
 
 deps:
 	.ci/install-packages
@@ -41,6 +42,11 @@
 fault-soak: build
 	tests/fault_soak.sh $(SEED) $(MINUTES)
 
+fuzz:
+	cmake -S . -B $(BUILD)-fuzz -G Ninja -DCMAKE_CXX_COMPILER=clang++-14 -DSASSAFRAS_FUZZ=ON
+	cmake --build $(BUILD)-fuzz --target answer_fuzz request_fuzz
+	tests/fuzz.sh $(BUILD)-fuzz $(SECONDS)
+
 mutants:
 	python3 tests/mutants.py
 
@@ -53,4 +59,4 @@
 	cmake --install $(BUILD)
 
 clean:
-	rm -rf $(BUILD) $(BUILD)-asan
+	rm -rf $(BUILD) $(BUILD)-asan $(BUILD)-fuzz
