--- a/libs/entry/src/attempt.cc
+++ b/libs/entry/src/attempt.cc
@@ -23,6 +23,8 @@
 constexpr size_t kMaxBufferedResponseBytes = 128u << 10u;
 /** Most responses to earlier requests that one attempt skips before it fails. */
 constexpr int kMaxMismatchedResponses = 2;
+/** Most interim responses (1xx) ahead of a response; an endpoint could send them without end. */
+constexpr int kMaxInterimResponses = 8;
 /** Most reads spent on discarding a response body so that its connection can be reused. */
 constexpr int kMaxDiscardReads = 64;
 constexpr uint32_t kMaxResponseHeadBytes = 32u << 10u;
@@ -195,14 +197,16 @@
 asio::awaitable<error_code> Attempt::ReadResponseHead() {
   const bool head_request = m_exchange.Request().get().method() == http::verb::head;
   error_code error;
-  do {
+  for (int interim = 0; interim <= kMaxInterimResponses; ++interim) {
     m_response.emplace();
     m_response->header_limit(kMaxResponseHeadBytes);
     m_response->body_limit(boost::none);
     m_response->skip(head_request);
     co_await http::async_read_header(m_connection->stream, m_connection->buffer, *m_response, AwaitWithError(error));
-  } while (!error && http::to_status_class(m_response->get().result()) == http::status_class::informational);
-  co_return error;
+    if (error || http::to_status_class(m_response->get().result()) != http::status_class::informational)
+      co_return error;
+  }
+  co_return http::error::bad_status;
 }
 
 asio::awaitable<error_code> Attempt::ReadMatchingResponseHead(ResponseKind& kind) {
@@ -280,8 +284,12 @@
   answer.keep_alive(m_exchange.KeepAlive());
   if (m_target.record_answer)
     StartRecording(answer);
-  if (!m_response->is_done())
+  if (!m_response->is_done()) {
+    // The caller's connection may stay open, so its end cannot delimit the body as the endpoint's does.
+    if (m_response->need_eof())
+      answer.chunked(true);
     co_return co_await RelayRemainingBody(answer);
+  }
   // Responses to HEAD, and 204 and 304, have no body even if Content-Length says otherwise.
   const bool has_body = !m_body.empty() || m_response->need_eof() || m_response->chunked();
   if (has_body) {
@@ -318,6 +326,9 @@
     co_await http::async_read_some(m_connection->stream, m_connection->buffer, *m_response, AwaitWithError(error));
     if (error == http::error::need_buffer)
       error = {};
+    // The timer of the stream may never be seen to fire while bytes are always ready to be read.
+    if (!error && !m_response->is_done() && m_engine.Now() >= m_target.deadline)
+      error = beast::error::timeout;
     if (error && m_exchange.ResponseStarted()) {
       const AttemptResult failed = ResultForError(error);
       co_return failed == AttemptResult::kBroken || failed == AttemptResult::kMalformed ? AttemptResult::kBrokenInAnswer
