--- a/libs/core/src/discovery.cc
+++ b/libs/core/src/discovery.cc
@@ -21,6 +21,8 @@
 
 /** Time for entries that expired while the store was unavailable to be registered again. */
 constexpr milliseconds kReregistrationGrace{2'000};
+/** Reads that may lag show a restore after this time at the latest. */
+constexpr milliseconds kMaxReadLag{5'000};
 /** Number of instances that read the changes in the store for the whole fleet. */
 constexpr size_t kReaderCount = 3;
 /** "read" in ASCII. */
@@ -110,10 +112,8 @@
   if (IsEndpointReader(parts, now)) {
     // Until now the listing may have held endpoints that ended before the store was restored.
     whole = now >= feed.rereads_at;
-    if (whole) {
-      feed.rereads_at = TimePoint::max();
+    if (whole)
       return true;
-    }
     read.wait = kMaxChangeWait;
     return true;
   }
@@ -128,16 +128,20 @@
 
 /** Notes a revision that the store or a peer reports; after a restore, what this instance wrote may be lost too. */
 void NoteRevision(StateParts& parts, uint64_t revision, TimePoint now) {
-  if (parts.feed.NoteRevision(revision, now))
-    parts.roster.read = false;
+  if (!parts.feed.NoteRevision(revision, now))
+    return;
+  parts.lists.unsettled_until = now + kReregistrationGrace;
+  parts.roster.rereads_at = now + kMaxReadLag;
 }
 
 void OnEndpointsReceived(StateParts& parts, const Event::EndpointsReceived& event, Effects& effects) {
   EndpointFeed& feed = parts.feed;
   NoteRevision(parts, event.as_of, event.now);
+  for (const EndpointChange& change : event.changes)
+    NoteRevision(parts, change.revision, event.now);
   // An older read is ignored: all changes up to as_of have been applied, and it could remove endpoints that were listed
   // again since.
-  if (event.as_of < feed.as_of)
+  if (feed.IsLater(feed.as_of, event.as_of))
     return;
   std::vector<EndpointChange> new_changes;
   const Duration removal_delay = RemovalDelay(parts, event.now);
@@ -156,6 +160,9 @@
   feed.last_read_at = event.now - kEndpointReadPeriod + kReadPauseAfterChange;
   if (event.whole)
     feed.peer_differs_since = {};
+  const bool complete = event.whole && !event.from_peer && !event.may_lag;
+  if (complete && event.now >= feed.rereads_at)
+    feed.rereads_at = TimePoint::max();
   if (first && parts.lists.generation > 0)
     StartServing(parts);
   if (new_changes.empty())
@@ -201,7 +208,7 @@
     NoteRevision(parts, change.revision, now);
     // A paused instance may send changes from before the latest read when it resumes; they could restore removed
     // endpoints.
-    const bool old = change.revision <= feed.as_of;
+    const bool old = !feed.IsLater(change.revision, feed.as_of);
     if (!old && feed.Apply(change, EndpointFeed::Source::kWrite, RemovalDelay(parts, now), now))
       new_changes.push_back(change);
   }
--- a/libs/core/src/endpoint_feed.cc
+++ b/libs/core/src/endpoint_feed.cc
@@ -48,19 +48,28 @@
   return true;
 }
 
+bool EndpointFeed::IsLater(uint64_t a, uint64_t b) const {
+  // A read that may lag does not tell its era. Without a restore the numbers alone give the order.
+  const bool restored = m_outdated_entries_until != TimePoint();
+  const bool era_unknown = EraOf(a) == 0 || EraOf(b) == 0;
+  return era_unknown && !restored ? RevisionNumber(a) > RevisionNumber(b) : a > b;
+}
+
 bool EndpointFeed::IsOutdatedEntry(const KnownEndpoint& known,
                                    const EndpointChange& change,
                                    Source source,
                                    TimePoint now) const {
-  const bool same_process = change.incarnation <= known.change.incarnation;
+  const bool listed_long_ago = now < m_outdated_entries_until;
+  // Start times come from the wall clock, which may have been set back, so a lower one counts only for a time.
+  const bool same_process = change.incarnation == known.change.incarnation ||
+                            (change.incarnation < known.change.incarnation && listed_long_ago);
   const bool restored = EraOf(change.revision) > EraOf(known.change.revision) && EraOf(known.change.revision) != 0;
   if (change.kind != EndpointChange::Kind::kServing || !same_process || !restored)
     return false;
   // Leaving is final for a process. An endpoint that was only unlisted may be alive: its next write shows it.
   if (known.change.kind == EndpointChange::Kind::kLeaving)
     return change.incarnation != 0;
-  return known.change.kind == EndpointChange::Kind::kGone && source == Source::kListing &&
-         now < m_outdated_entries_until;
+  return known.change.kind == EndpointChange::Kind::kGone && source == Source::kListing && listed_long_ago;
 }
 
 bool EndpointFeed::Apply(const EndpointChange& change, Source source, Duration removal_delay, TimePoint now) {
@@ -70,7 +79,8 @@
     return false;
   KnownEndpoint& known = m_known[change.row.name];
   const bool is_new = found == m_known.end();
-  if (!is_new && change.revision <= std::max(known.change.revision, known.gone_revision))
+  const bool later = IsLater(change.revision, known.change.revision) && IsLater(change.revision, known.gone_revision);
+  if (!is_new && !later)
     return false;
   if (!is_new && IsOutdatedEntry(known, change, source, now))
     return false;
@@ -141,7 +151,8 @@
     if (kept)
       complete = std::min(complete, known.last_listed_revision);
   }
-  return complete;
+  // Peers learn of a restore by the era, however little of the new history is complete here.
+  return std::max(complete, MakeStoreRevision(EraOf(as_of), 0));
 }
 
 std::vector<EndpointChange> EndpointFeed::ExpireGone(TimePoint now) {
--- a/libs/core/src/endpoint_feed.h
+++ b/libs/core/src/endpoint_feed.h
@@ -46,6 +46,8 @@
   /** Takes note of a revision that the store or a peer reports; returns whether it shows that the store was restored.
    */
   bool NoteRevision(uint64_t revision, TimePoint now);
+  /** Whether revision `a` of the store is later than `b`. */
+  bool IsLater(uint64_t a, uint64_t b) const;
   /** When all endpoints have to be read again because of a restore; TimePoint::max() for never. */
   TimePoint rereads_at = TimePoint::max();
   /** Removes all endpoints but `listed`, the complete listing as of a revision; appends new removals to `changes`. */
--- a/libs/core/src/lists_tracker.h
+++ b/libs/core/src/lists_tracker.h
@@ -31,6 +31,8 @@
   bool watching = false;
   /** After a pause, calls wait until a peer or the store confirms the lists, but not beyond this time. */
   TimePoint revalidate_until{};
+  /** Until when a store that was restored may lack lists that it had acknowledged. */
+  TimePoint unsettled_until{};
   /** Id of the query sent to peers after the latest pause. */
   uint64_t revalidation_query = 0;
 };
--- a/libs/core/src/roster.cc
+++ b/libs/core/src/roster.cc
@@ -71,13 +71,15 @@
   const bool alone = parts.members.CountServing(now) <= 1;
   const bool missing_after_settling =
       parts.roster.peers.empty() && now - parts.options.start >= kGossipSettleTime + kMinReadInterval;
-  return alone || missing_after_settling || !parts.roster.read;
+  return alone || missing_after_settling || !parts.roster.read || now >= parts.roster.rereads_at;
 }
 
 }  // namespace
 
 void OnRosterReceived(StateParts& parts, const Event::RosterReceived& event) {
   parts.roster.read = true;
+  if (event.now >= parts.roster.rereads_at)
+    parts.roster.rereads_at = TimePoint::max();
   parts.roster.peers.clear();
   std::vector<Member> others;
   for (const Member& member : event.members) {
--- a/libs/core/src/roster_state.h
+++ b/libs/core/src/roster_state.h
@@ -14,6 +14,8 @@
   absl::flat_hash_map<std::string, std::string> peers;
   /** Whether the roster has been read since the start. */
   bool read = false;
+  /** When the roster has to be read again because the store was restored; TimePoint::max() for never. */
+  TimePoint rereads_at = TimePoint::max();
   TimePoint last_read{};
   TimePoint last_write{};
 };
--- a/libs/core/tests/discovery_test.cc
+++ b/libs/core/tests/discovery_test.cc
@@ -304,6 +304,49 @@
   CHECK_FALSE(fixture.AcceptsCall());
 }
 
+// Guards against an endpoint that stays out of use because the listing after a restore was lost or refused.
+TEST_CASE("after a restore all endpoints are read again until a listing has arrived") {
+  Fixture fixture;
+  fixture.instance.ReceiveEndpoints({MakeListed(At(1, 90), 1)}, true, At(1, 95));
+  fixture.instance.ReceiveEndpoints({MakeGoneChange("e", At(1, 96))}, false, At(1, 96));
+  fixture.instance.ReceiveEndpoints({MakeListed(At(2, 20), 1)}, true, At(2, 60));
+  const auto reads_whole = [&] {
+    fixture.instance.Advance(Millis(1'000));
+    bool whole = false;
+    for (const auto& read : SingleInstance::EffectsOfType<Effect::ReadEndpoints>(
+             fixture.instance.HandleEvent(Event::Tick{fixture.instance.Now()})))
+      whole = whole || read.whole;
+    return whole;
+  };
+  fixture.instance.Advance(Millis(5'100));
+  CHECK(reads_whole());
+  // The answer was lost.
+  CHECK(reads_whole());
+  fixture.instance.ReceiveEndpoints({MakeListed(At(2, 20), 1)}, true, At(2, 70));
+  CHECK(fixture.AcceptsCall());
+  CHECK_FALSE(reads_whole());
+}
+
+// Guards against an order that only compares eras: a read that may lag names none.
+TEST_CASE("changes from before a read that may lag are not applied, although it names no era") {
+  Fixture fixture;
+  EndpointChange leaving = MakeLeavingChange("e", 90);
+  leaving.incarnation = 0;
+  fixture.instance.ReceiveEndpoints({leaving}, true, 95);
+  GossipMessage late_message;
+  late_message.endpoint_changes = {MakeListed(At(1, 85), 0)};
+  fixture.ReceiveGossip(late_message);
+  CHECK_FALSE(fixture.AcceptsCall());
+}
+
+// Guards against an endpoint that stays in use: its removal is listed by a peer whose read may lag and names no era.
+TEST_CASE("a later listing that names no era removes an endpoint") {
+  Fixture fixture;
+  fixture.instance.ReceiveEndpoints({MakeListed(At(1, 120), 1)}, false, At(1, 120));
+  fixture.instance.ReceiveEndpoints({}, true, 200);
+  CHECK_FALSE(fixture.AcceptsCall());
+}
+
 // Guards against a peer that reads the old history and undoes what this instance has read after the restore.
 TEST_CASE("gossip from before a restore does not undo what was read after it") {
   Fixture fixture;
--- a/libs/core/tests/lists_currency_test.cc
+++ b/libs/core/tests/lists_currency_test.cc
@@ -5,6 +5,7 @@
 
 #include "core/gossip_message.h"
 #include "core/outcome.h"
+#include "core/store_revision.h"
 #include "single_instance.h"
 
 namespace sassafras {
@@ -78,6 +79,19 @@
   CHECK(fixture.StatusOfUnmatchedCall() == kNotFound);
 }
 
+// Guards against 404 for a route that a restored store has lost and that the operator has not written again yet.
+TEST_CASE("just after a restore of the store, an instance does not say that no plan covers a request") {
+  Fixture fixture;
+  fixture.instance.ReceiveEndpoints({}, false, MakeStoreRevision(1, 20));
+  fixture.Confirm(1);
+  CHECK(fixture.StatusOfUnmatchedCall() == kNotFound);
+  fixture.instance.ReceiveEndpoints({}, false, MakeStoreRevision(2, 15));
+  fixture.Confirm(1);
+  CHECK(fixture.StatusOfUnmatchedCall() == kServiceUnavailable);
+  fixture.instance.Advance(Millis(2'100));
+  CHECK(fixture.StatusOfUnmatchedCall() == kNotFound);
+}
+
 // Guards against an instance that answers 503 for ever because a generation that a peer announced once was lost.
 TEST_CASE("an announced generation that no instance has any more stops counting") {
   Fixture fixture;
