Leaving endpoints: do not gossip what a former address answers

What callers would see: nothing. Every peer kept a rumor about no endpoint for ten minutes.

Cause: an endpoint that moves to another address leaves a table position without a name; an answer that then came from the former address was marked and gossiped under the name hash 0.

Change: RecordLeaving ignores a position without a name.

--- a/libs/core/src/endpoint_learning.cc
+++ b/libs/core/src/endpoint_learning.cc
@@ -105,9 +105,10 @@
                    uint64_t incarnation,
                    const char* source,
                    TimePoint now) {
-  if (!parts.endpoints.MarkLeaving(endpoint, incarnation))
-    return;
   const EndpointState& state = parts.At(endpoint);
+  // An endpoint that moved to another address has no name here: what the former address answers concerns nobody.
+  if (state.name_hash == 0 || !parts.endpoints.MarkLeaving(endpoint, incarnation))
+    return;
   parts.log_records.push_back(
       {LogRecord::Kind::kEndpointLeaving, parts.endpoints.Listing(endpoint).name, 0, {}, source});
   using Kind = GossipMessage::Rumor::Kind;
--- a/libs/core/tests/leaving_endpoint_test.cc
+++ b/libs/core/tests/leaving_endpoint_test.cc
@@ -200,6 +200,23 @@
   CHECK(fixture.UsesEndpoint());
 }
 
+// Guards against spreading a rumor about no endpoint when an answer comes from the address that an endpoint left.
+TEST_CASE("an answer from the former address of an endpoint is not gossiped") {
+  Fixture fixture;
+  fixture.ReceiveLeavingRumor("unrelated", kFirstIncarnation);
+  const Dispatch attempt = fixture.StartAttempt();
+  EndpointChange moved = MakeServing(11, kSecondIncarnation);
+  moved.row.address = "127.0.0.1:901";
+  fixture.instance.ReceiveEndpoints({moved}, false, 11);
+  fixture.EndAttempt(attempt);
+  for (const auto& sent : SingleInstance::EffectsOfType<Effect::SendGossip>(
+           fixture.instance.HandleEvent(Event::Tick{fixture.instance.Now()}))) {
+    for (const Rumor& rumor : sent.message->rumors)
+      CHECK(rumor.subject == Hash64("unrelated"));
+  }
+  CHECK(fixture.UsesEndpoint());
+}
+
 // Guards against keeping to oneself, in a fleet with discovery, that an answer said that its endpoint leaves.
 TEST_CASE("peers are told at once that an answer says that its endpoint leaves") {
   Fixture fixture;
