Hold-off counts from the head of the answer

What callers would see: an endpoint that asked for no requests for a while with a slow 503 stays out of use for longer than it asked.

Cause: its time was applied when the head of the answer arrived, and again when the attempt ended.

Evidence: "an endpoint holds off requests from the head of its answer on, however late the answer ends" failed before: CHECK_FALSE( true ).

Change: the end of the attempt no longer carries it. NativeDialect is not final any more, so that a test can add to what it reads.

--- a/libs/entry/include/entry/native_dialect.h
+++ b/libs/entry/include/entry/native_dialect.h
@@ -5,7 +5,7 @@
 namespace sassafras {
 
 /** The native Sassafras headers; see docs/PROTOCOL.md. */
-class NativeDialect final : public HttpDialect {
+class NativeDialect : public HttpDialect {
  public:
   absl::StatusOr<Duration> ReadTimeLeft(const Fields& fields) const override;
   std::string_view RequestId(const Fields& fields) const override;
--- a/libs/entry/src/attempt.cc
+++ b/libs/entry/src/attempt.cc
@@ -245,6 +245,8 @@
   const bool takes_no_more = load.draining || load.hold_off > std::chrono::milliseconds::zero();
   if (takes_no_more && kind != ResponseKind::kWrongEndpoint)
     m_engine.Post(Event::EndpointReported{m_engine.Now(), m_target.endpoint, load});
+  // It counts from now, not from the end of the response.
+  load.hold_off = {};
 }
 
 AttemptResult Attempt::ResultForError(const error_code& error) const {
--- a/libs/entry/tests/attempt_test.cc
+++ b/libs/entry/tests/attempt_test.cc
@@ -23,6 +23,18 @@
 namespace {
 
 constexpr EndpointHandle kEndpoint(0);
+constexpr std::chrono::milliseconds kHoldOff{10'000};
+
+/** A dialect in which every answer with Retry-After holds off requests for kHoldOff. */
+class HoldOffDialect final : public NativeDialect {
+ public:
+  LoadReport ReadLoad(const ResponseHead& response) const override {
+    LoadReport report = NativeDialect::ReadLoad(response);
+    if (response.find(http::field::retry_after) != response.end())
+      report.hold_off = kHoldOff;
+    return report;
+  }
+};
 
 /** An endpoint that answers each connection's first request with `answer` and then neither sends nor closes. */
 class FixedEndpoint {
@@ -98,7 +110,7 @@
   asio::io_context context;
   SystemClock clock;
   NullControlSink control;
-  NativeDialect dialect;
+  HoldOffDialect dialect;
   Engine engine{StateOptions(), clock};
   UpstreamPool pool{context.get_executor(), clock};
   FixedEndpoint endpoint;
@@ -136,5 +148,19 @@
   CHECK(fixture.endpoint.ReceivedBytes() == 0);
 }
 
+// Guards against counting the time for which an endpoint wants no requests from the end of a slow answer.
+TEST_CASE("an endpoint holds off requests from the head of its answer on, however late the answer ends") {
+  Fixture fixture("HTTP/1.1 503 -\r\nRetry-After: 10\r\nContent-Length: 100\r\n\r\nthe first part");
+  const State& state = fixture.engine.GetState();
+  while (!state.IsHeldOff(kEndpoint, fixture.clock.Now()) && fixture.context.run_one() > 0) {
+  }
+  const TimePoint latest_end = fixture.clock.Now() + kHoldOff;
+  CHECK(state.InFlight(kEndpoint) == 1);
+  // The rest of the body does not come, so the attempt ends at its deadline.
+  while (state.InFlight(kEndpoint) == 1 && fixture.context.run_one() > 0) {
+  }
+  CHECK_FALSE(state.IsHeldOff(kEndpoint, latest_end));
+}
+
 }  // namespace
 }  // namespace sassafras
