An instance that does not use a listed endpoint yet does not claim to be complete

What callers would see: an endpoint left out for good on some instances after a restore.

Cause: during the seconds in which a listing does not bring back what is gone, an instance left out an entry that the store listed, yet announced its endpoints as complete up to its position. A peer that took the whole list from it counted the endpoint as removed at that position, which is later than the endpoint's own entry, and refused that entry ever after.

Change: a refused entry lowers the revision that is announced to peers, as a delayed removal does.

--- a/libs/core/src/endpoint_feed.cc
+++ b/libs/core/src/endpoint_feed.cc
@@ -82,8 +82,15 @@
   const bool later = IsLater(change.revision, known.change.revision) && IsLater(change.revision, known.gone_revision);
   if (!is_new && !later)
     return false;
-  if (!is_new && IsOutdatedEntry(known, change, source, now))
+  if (!is_new && IsOutdatedEntry(known, change, source, now)) {
+    if (known.refused_revision == 0)
+      ++m_refused_count;
+    known.refused_revision = change.revision;
     return false;
+  }
+  if (known.refused_revision != 0)
+    --m_refused_count;
+  known.refused_revision = 0;
   if (!is_new && HasSameContent(known.change, change) && known.gone_at == TimePoint::max()) {
     known.change.revision = change.revision;
     return false;
@@ -144,9 +151,11 @@
 
 uint64_t EndpointFeed::CompleteRevision(TimePoint now) const {
   uint64_t complete = as_of;
-  if (!MayUseDroppedEndpoints(now))
+  if (!MayUseDroppedEndpoints(now) && m_refused_count == 0)
     return complete;
   for (const auto& [name, known] : m_known) {
+    if (known.refused_revision != 0)
+      complete = std::min(complete, known.refused_revision - 1);
     const bool kept = known.gone_at != TimePoint::max() && known.change.kind != EndpointChange::Kind::kGone;
     if (kept)
       complete = std::min(complete, known.last_listed_revision);
@@ -175,6 +184,8 @@
   for (auto entry = m_known.begin(); entry != m_known.end();) {
     const KnownEndpoint& known = entry->second;
     const bool forget = known.change.kind == EndpointChange::Kind::kGone && now - known.gone_at >= kGoneEntryRetention;
+    if (forget && known.refused_revision != 0)
+      --m_refused_count;
     entry = forget ? m_known.erase(entry) : std::next(entry);
   }
   return expired;
--- a/libs/core/src/endpoint_feed.h
+++ b/libs/core/src/endpoint_feed.h
@@ -25,6 +25,8 @@
     /** Revision at which the endpoint was no longer listed, and the last one at which it is known to have been. */
     uint64_t gone_revision = 0;
     uint64_t last_listed_revision = 0;
+    /** Revision of an entry that was not applied because it may be outdated; 0 if none was. */
+    uint64_t refused_revision = 0;
   };
   /** By name, so that every process visits the endpoints in the same order and a simulation can be repeated. */
   using Entries = absl::btree_map<std::string, KnownEndpoint>;
@@ -60,7 +62,10 @@
   std::vector<EndpointChange> ExpireGone(TimePoint now);
   /** Whether endpoints that are no longer listed may still be in use. Digest() then covers these as well. */
   bool MayUseDroppedEndpoints(TimePoint now) const { return now <= m_last_gone_at; }
-  /** Revision as of which All() matches the store; lower than as_of while unlisted endpoints are still in use. */
+  /**
+   * Revision as of which All() matches the store; lower than as_of while unlisted endpoints are still in use, or while
+   * a listed one is not.
+   */
   uint64_t CompleteRevision(TimePoint now) const;
   /** Time at which ExpireGone() next has work to do. */
   TimePoint NextExpiry() const { return m_next_expiry; }
@@ -90,6 +95,8 @@
   bool IsOutdatedEntry(const KnownEndpoint& known, const EndpointChange& change, Source source, TimePoint now) const;
 
   Entries m_known;
+  /** Number of entries in `m_known` with a refused revision. */
+  size_t m_refused_count = 0;
   /** Highest era of the store that is known; 0 if none is. */
   uint64_t m_era = 0;
   /** Until when a listing may still hold entries of endpoints that have ended before the store was restored. */
--- a/libs/core/tests/discovery_test.cc
+++ b/libs/core/tests/discovery_test.cc
@@ -327,6 +327,18 @@
   CHECK_FALSE(reads_whole());
 }
 
+// Guards against peers that drop an endpoint for good: this instance does not use its entry yet, and says it is
+// complete.
+TEST_CASE("while a listed endpoint is not used, the revision announced to peers stays below its entry") {
+  Fixture fixture;
+  fixture.instance.ReceiveEndpoints({MakeListed(At(1, 90), 1)}, true, At(1, 95));
+  fixture.instance.ReceiveEndpoints({MakeGoneChange("e", At(1, 96))}, false, At(1, 96));
+  fixture.instance.ReceiveEndpoints({MakeListed(At(2, 20), 1)}, true, At(2, 60));
+  CHECK(fixture.instance.GetState().EndpointsAsOf() == At(2, 19));
+  fixture.instance.ReceiveEndpoints({MakeListed(At(2, 61), 1)}, false, At(2, 61));
+  CHECK(fixture.instance.GetState().EndpointsAsOf() == At(2, 61));
+}
+
 // Guards against an order that only compares eras: a read that may lag names none.
 TEST_CASE("changes from before a read that may lag are not applied, although it names no era") {
   Fixture fixture;
