Endpoints: peers that missed a change do not refute the one that has it

Cause: if the datagrams of a change are lost, an instance learns of it by the digest in a peer's message, and reads that peer once they have differed for a second. Any message with an equal digest reset that second, also one of a peer that had missed the change too. Instances that missed it together kept each other from reading it.

Change: an equal digest ends the difference only if its sender's endpoints were confirmed no earlier than those of the peer that differs, or if this instance has caught up with that peer.

--- a/libs/core/src/discovery.cc
+++ b/libs/core/src/discovery.cc
@@ -219,17 +219,23 @@
     RelayEndpointChanges(parts, std::move(new_changes), now, effects);
   if (message.endpoints_as_of == 0)
     return;
+  const TimePoint peer_confirmed_at = now - message.endpoints_age;
   if (message.endpoints_digest == feed.Digest()) {
-    feed.peer_differs_since = {};
-    feed.confirmed_at = std::max(feed.confirmed_at, now - message.endpoints_age);
+    // A peer that has missed the same change does not refute the one that has it.
+    const bool caught_up = feed.Digest() == feed.differing_digest;
+    if (caught_up || peer_confirmed_at >= feed.differing_confirmed_at)
+      feed.peer_differs_since = {};
+    feed.confirmed_at = std::max(feed.confirmed_at, peer_confirmed_at);
     return;
   }
-  const bool peer_is_newer = now - message.endpoints_age > feed.confirmed_at;
+  const bool peer_is_newer = peer_confirmed_at > feed.confirmed_at;
   if (!peer_is_newer)
     return;
   if (feed.peer_differs_since == TimePoint())
     feed.peer_differs_since = now;
   feed.differing_peer = message.sender.peer_address;
+  feed.differing_digest = message.endpoints_digest;
+  feed.differing_confirmed_at = peer_confirmed_at;
 }
 
 void UpdateDiscovery(StateParts& parts, TimePoint now, Effects& effects) {
--- a/libs/core/src/endpoint_feed.h
+++ b/libs/core/src/endpoint_feed.h
@@ -80,8 +80,10 @@
   TimePoint confirmed_at{};
   /** Time since which a peer is known to hold different endpoints; TimePoint() if none does. */
   TimePoint peer_differs_since{};
-  /** Address of that peer. */
+  /** Address of that peer, the digest of its endpoints, and when they were last confirmed with the store. */
   std::string differing_peer;
+  uint64_t differing_digest = 0;
+  TimePoint differing_confirmed_at{};
   /** Start of the last read, or an earlier time if the next read is due sooner than usual. */
   TimePoint last_read_at{};
   /** Time at which the store answered again after failed reads. */
--- a/libs/core/tests/discovery_test.cc
+++ b/libs/core/tests/discovery_test.cc
@@ -388,5 +388,52 @@
   CHECK(read);
 }
 
+GossipMessage MessageFrom(const std::string& peer, uint64_t heartbeat) {
+  GossipMessage message;
+  message.sender.name = peer;
+  message.sender.peer_address = peer;
+  message.sender.failure_domain = "a";
+  message.sender.incarnation = 1;
+  message.sender.heartbeat = heartbeat;
+  message.generation = 1;
+  return message;
+}
+
+uint64_t DigestSentBy(SingleInstance& instance) {
+  Event::GossipReceived event;
+  event.now = instance.Now();
+  event.message = MessageFrom("unknown", 1);
+  const auto sent = SingleInstance::EffectsOfType<Effect::SendGossip>(instance.HandleEvent(event));
+  REQUIRE_FALSE(sent.empty());
+  return sent[0].message->endpoints_digest;
+}
+
+// Guards against missing a change for as long as peers that missed it too keep confirming the old endpoints.
+TEST_CASE("an instance whose peers have missed a change as well reads the endpoints from the one that has it") {
+  SingleInstance instance;
+  instance.ReceiveLists(1, SingleInstance::MakeLists("s"));
+  instance.ReceiveEndpoints({SingleInstance::MakeChange("e", 10)}, true, 10);
+  const uint64_t old_digest = DigestSentBy(instance);
+  // The change is 200 ms old; a peer that has it sends a message every 250 ms, one that has not does so in between.
+  bool reads = false;
+  uint64_t heartbeat = 1;
+  for (Millis elapsed{0}; elapsed < Millis(1'500) && !reads; elapsed += Millis(125)) {
+    instance.Advance(Millis(125));
+    ++heartbeat;
+    const bool newer = (elapsed.count() / 125) % 2 == 0;
+    Event::GossipReceived event;
+    event.now = instance.Now();
+    event.message = MessageFrom(newer ? "newer" : "behind", heartbeat);
+    event.message.endpoints_as_of = newer ? 11 : 10;
+    event.message.endpoints_digest = newer ? old_digest + 1 : old_digest;
+    event.message.endpoints_age = newer ? Millis(50) : elapsed + Millis(400);
+    instance.HandleEvent(event);
+    for (const auto& read :
+         SingleInstance::EffectsOfType<Effect::ReadEndpoints>(instance.HandleEvent(Event::Tick{instance.Now()})))
+      reads = reads || (read.whole && read.peer_address == "newer");
+  }
+  CHECK(reads);
+}
+
 }  // namespace
 }  // namespace sassafras
--- a/libs/core/tests/fleet_fuzz_test.cc
+++ b/libs/core/tests/fleet_fuzz_test.cc
@@ -1,7 +1,9 @@
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include <rapidcheck.h>
 #include <rapidcheck/state.h>
@@ -389,5 +391,35 @@
   CheckGuarantees(simulation);
 }
 
+/** Whether every instance knows that the endpoint is leaving. */
+bool AllKnowLeaving(const PlatformFleetSimulation& simulation, const std::string& name) {
+  for (size_t i = 0; i < PlatformFleetSimulation::kInstances; ++i) {
+    const std::vector<EndpointChange> endpoints = simulation.StateOf(i).KnownEndpoints();
+    const bool known = std::any_of(endpoints.begin(), endpoints.end(), [&](const EndpointChange& endpoint) {
+      return endpoint.row.name == name && endpoint.kind == EndpointChange::Kind::kLeaving;
+    });
+    if (!known)
+      return false;
+  }
+  return true;
+}
+
+// Guards against instances that missed a change confirming each other's old endpoints until calls reach a leaving one.
+TEST_CASE("a change whose first datagrams are lost is known to all instances within two and a half seconds") {
+  constexpr Millis kLossDuration{300};
+  constexpr Millis kMaxNoticeDelay{2'500};
+  for (uint64_t seed = 1; seed <= 300; ++seed) {
+    CAPTURE(seed);
+    PlatformFleetSimulation simulation(seed);
+    simulation.Advance(Millis(seed * 37 % 1'000));
+    simulation.SetGossipDropRate(1.0);
+    simulation.Drain(0);
+    simulation.Advance(kLossDuration);
+    simulation.SetGossipDropRate(0.0);
+    simulation.Advance(kMaxNoticeDelay - kLossDuration);
+    CHECK(AllKnowLeaving(simulation, "e1"));
+  }
+}
+
 }  // namespace
 }  // namespace sassafras
