A call whose earlier attempt may have run is never rejected as not run

What callers saw: "not run" (no_endpoint, 503) for a call that had run. Only calls that may be repeated are retried after a break, so none ran twice; the statement was false all the same.

Cause: three of the places that reject a call looked at what an earlier attempt left behind, two did not.

Change: EndRejected() decides it for all of them.

--- a/libs/core/src/call_end.cc
+++ b/libs/core/src/call_end.cc
@@ -151,6 +151,9 @@
 
 void EndRejected(StateParts& parts, CallHandle handle, Reason reason, TimePoint now, Effects& effects) {
   const CallState call = *parts.calls.Find(handle);
+  // An earlier attempt may have run, whatever kept this instance from the next one.
+  if (call.may_have_run && InfoOf(reason).outcome == Outcome::kNotRun)
+    reason = Reason::kConnectionBroken;
   const bool not_run = InfoOf(reason).outcome == Outcome::kNotRun;
   CountOutcome(parts, call, not_run ? &PlanCounters::not_run : &PlanCounters::unknown, now);
   parts.rejected_calls.Record(call.fingerprint, call.arrived_at, call.caller_deadline, call.spent_before);
