A stopping instance waits for connections that are just being accepted

What callers saw: one connection that was accepted in the instant of a planned stop, while there was no session, was closed without an answer: planned_stop_test "an instance that is stopped before it had plans ..." received "" in 8 of 8 runs.

Cause: the instance ended once it had no sessions; an accepted connection whose completion was still queued has none yet.

Change: it also waits until its listeners no longer accept.

--- a/libs/entry/src/entry_instance.cc
+++ b/libs/entry/src/entry_instance.cc
@@ -139,6 +139,8 @@
     return m_native_dialect;
   }
   absl::Status Listen(const std::string& address, std::string_view setting, SessionKind kind, const AdminPages& pages);
+  /** Accepts connections until the listener is closed. */
+  asio::awaitable<void> RunAccept(Listener& listener);
   asio::awaitable<void> Accept(Listener& listener);
   /** Starts a session on an accepted connection. */
   void StartSession(asio::ip::tcp::socket socket, const Listener& listener);
@@ -176,6 +178,8 @@
   asio::steady_timer m_stop_timer;
   std::unordered_set<CallerSession*> m_sessions;
   bool m_closing = false;
+  /** Listeners that may still accept a connection. */
+  size_t m_accepting = 0;
   size_t m_aborted_requests = 0;
 };
 
@@ -186,7 +190,7 @@
   Listener& listener = m_listeners.emplace_back(m_context, kind, pages);
   absl::Status status = OpenListener(listener.acceptor, address, setting);
   if (status.ok())
-    asio::co_spawn(m_context, Accept(listener), asio::detached);
+    asio::co_spawn(m_context, RunAccept(listener), asio::detached);
   return status;
 }
 
@@ -212,6 +216,13 @@
   return absl::OkStatus();
 }
 
+asio::awaitable<void> EntryInstance::Impl::RunAccept(Listener& listener) {
+  ++m_accepting;
+  co_await Accept(listener);
+  --m_accepting;
+  FinishIfIdle();
+}
+
 asio::awaitable<void> EntryInstance::Impl::Accept(Listener& listener) {
   asio::ip::tcp::acceptor& acceptor = listener.acceptor;
   while (acceptor.is_open()) {
@@ -344,7 +355,8 @@
 }
 
 void EntryInstance::Impl::FinishIfIdle() {
-  if (!m_closing || !m_sessions.empty() || m_engine.GetState().CallsInProgress() > 0)
+  // A connection that was just accepted has no session yet.
+  if (!m_closing || m_accepting > 0 || !m_sessions.empty() || m_engine.GetState().CallsInProgress() > 0)
     return;
   Log(LogLevel::kInfo, "stopped", {{"instance", m_settings.instance}});
   m_context.stop();
--- a/libs/entry/tests/planned_stop_test.cc
+++ b/libs/entry/tests/planned_stop_test.cc
@@ -91,9 +91,12 @@
   }
 }
 
-// Guards against callers that give up, since they do not repeat a request after 404.
+// Guards against callers that give up, since they do not repeat a request after 404, and against a connection that is
+// accepted in the instant of the stop, when no session exists, and closed without an answer.
 TEST_CASE("an instance that is stopped before it had plans does not tell callers that their plan is missing") {
-  CHECK(StopBeforeAccepting(1).front().starts_with("HTTP/1.1 503"));
+  const std::string received = StopBeforeAccepting(1).front();
+  CAPTURE(received);
+  CHECK(received.starts_with("HTTP/1.1 503"));
 }
 
 }  // namespace
