--- a/libs/entry/tests/planned_stop_test.cc
+++ b/libs/entry/tests/planned_stop_test.cc
@@ -3,11 +3,13 @@
 #include <chrono>
 #include <deque>
 #include <string>
+#include <vector>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/write.hpp>
 
+#include "base/error.h"
 #include "base/system_clock.h"
 #include "entry/entry_instance.h"
 #include "http_types.h"
@@ -16,19 +18,25 @@
 namespace sassafras {
 namespace {
 
-/** An address on which nothing listens. */
-std::string FreeAddress(asio::io_context& context) {
-  const asio::ip::tcp::acceptor acceptor(context, {asio::ip::address_v4::loopback(), 0});
-  return "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
+/** Addresses on which nothing listens, all different. */
+std::vector<std::string> FreeAddresses(asio::io_context& context, size_t count) {
+  std::deque<asio::ip::tcp::acceptor> acceptors;
+  std::vector<std::string> addresses;
+  for (size_t i = 0; i < count; ++i) {
+    acceptors.emplace_back(context, asio::ip::tcp::endpoint(asio::ip::address_v4::loopback(), 0));
+    addresses.push_back("127.0.0.1:" + std::to_string(acceptors.back().local_endpoint().port()));
+  }
+  return addresses;
 }
 
 Settings MakeSettings(asio::io_context& context) {
   Settings settings;
   settings.instance = "i0";
   settings.failure_domain = "a";
-  settings.listen = FreeAddress(context);
-  settings.peer_listen = FreeAddress(context);
-  settings.platform = {FreeAddress(context)};
+  const std::vector<std::string> addresses = FreeAddresses(context, 3);
+  settings.listen = addresses[0];
+  settings.peer_listen = addresses[1];
+  settings.platform = {addresses[2]};
   settings.address_ttl = std::chrono::seconds(1);
   settings.connect_timeout = std::chrono::milliseconds(100);
   settings.stop_limit = std::chrono::seconds(60);
@@ -64,7 +72,9 @@
     const SystemClock clock;
     const Settings settings = MakeSettings(context);
     EntryInstance instance(context, settings, clock);
-    REQUIRE(instance.Start().ok());
+    const absl::Status started = instance.Start();
+    CAPTURE(MessageOf(started));
+    REQUIRE(started.ok());
     const size_t colon = settings.listen.find(':');
     const auto port = static_cast<uint16_t>(std::stoi(settings.listen.substr(colon + 1)));
     const std::string request = "GET /x HTTP/1.1\r\nHost: h\r\n\r\n";
