--- a/libs/core/src/discovery.cc
+++ b/libs/core/src/discovery.cc
@@ -124,8 +124,6 @@
   return std::uniform_real_distribution<double>(0.0, 1.0)(parts.random) < static_cast<double>(kReaderCount) / fleet;
 }
 
-}  // namespace
-
 /** Notes a revision that the store or a peer reports; after a restore, what this instance wrote may be lost too. */
 void NoteRevision(StateParts& parts, uint64_t revision, TimePoint now) {
   if (!parts.feed.NoteRevision(revision, now))
@@ -134,6 +132,8 @@
   parts.roster.rereads_at = now + kMaxReadLag;
 }
 
+}  // namespace
+
 void OnEndpointsReceived(StateParts& parts, const Event::EndpointsReceived& event, Effects& effects) {
   EndpointFeed& feed = parts.feed;
   NoteRevision(parts, event.as_of, event.now);
--- a/libs/core/src/endpoint_feed.h
+++ b/libs/core/src/endpoint_feed.h
@@ -45,8 +45,7 @@
    * @return whether the change has an effect now; false if it is delayed by `removal_delay`
    */
   bool Apply(const EndpointChange& change, Source source, Duration removal_delay, TimePoint now);
-  /** Takes note of a revision that the store or a peer reports; returns whether it shows that the store was restored.
-   */
+  /** Notes a revision that the store or a peer reports; returns whether it shows that the store was restored. */
   bool NoteRevision(uint64_t revision, TimePoint now);
   /** Whether revision `a` of the store is later than `b`. */
   bool IsLater(uint64_t a, uint64_t b) const;
