--- a/libs/core/src/dispatch.cc
+++ b/libs/core/src/dispatch.cc
@@ -27,8 +27,7 @@
 
 /** Ends a waiting call whose deadline has passed. */
 void RejectExpired(StateParts& parts, const WaitQueue::Entry& entry, TimePoint now, Effects& effects) {
-  const bool maybe_ran = parts.calls.Find(entry.call)->may_have_run;
-  EndRejected(parts, entry.call, maybe_ran ? Reason::kConnectionBroken : Reason::kDeadlineBeforeStart, now, effects);
+  EndRejected(parts, entry.call, Reason::kDeadlineBeforeStart, now, effects);
 }
 
 void DispatchFromQueue(StateParts& parts, ServiceState& service, WaitQueue& queue, TimePoint now, Effects& effects) {
--- a/libs/core/src/load_probing.cc
+++ b/libs/core/src/load_probing.cc
@@ -161,14 +161,13 @@
     endpoint = BestProbedEndpoint(parts, call, kAllSlots, now, estimate);
   // This applies to retries after a refusal as well: with precedence they would make other calls late.
   if (has_estimate && (!endpoint.IsValid() || WouldWasteSlot(parts, call, endpoint, estimate, now))) {
-    EndRejected(parts, handle, call.may_have_run ? Reason::kConnectionBroken : Reason::kOverloaded, now, effects);
+    EndRejected(parts, handle, Reason::kOverloaded, now, effects);
     return;
   }
   if (!has_estimate)
     endpoint = FallbackEndpoint(parts, call, now);
   if (!endpoint.IsValid()) {
-    const Reason reason = call.may_have_run ? Reason::kConnectionBroken : Reason::kNoEndpoint;
-    EndRejected(parts, handle, reason, now, effects);
+    EndRejected(parts, handle, Reason::kNoEndpoint, now, effects);
     return;
   }
   Dispatch(parts, handle, endpoint, now, effects);
@@ -257,8 +256,7 @@
   if (call->reprobe_pending) {
     // Without probes the endpoint would be chosen blindly, and most of them are full.
     if (parts.load_probe_budget.FillLevel() < kLowBudgetLevel) {
-      EndRejected(parts, event.call, call->may_have_run ? Reason::kConnectionBroken : Reason::kOverloaded, event.now,
-                  effects);
+      EndRejected(parts, event.call, Reason::kOverloaded, event.now, effects);
       return;
     }
     if (!StartLoadProbing(parts, event.call, event.now, effects))
