--- a/review/lib/lab.py
+++ b/review/lib/lab.py
@@ -226,6 +226,10 @@
                              f"done {request_id}".encode())
 
 
+class PortTaken(Exception):
+    """An instance ended while it started: another process has taken one of its ports."""
+
+
 class Lab:
     """Store, endpoints and entry instances. `endpoints` are started; `routes` are specs of the operator's config."""
 
@@ -245,17 +249,37 @@
                          f"{len(body)} bytes")
 
     async def start(self, routes, limits=None):
-        store_port, *ports = free_ports(1 + 5 * self.entry_count)
-        await self.store.start(store_port)
+        store_port = await self._start_store()
         for endpoint in self.endpoints:
             await endpoint.start()
         await self._put_config(routes, limits)
         await self._beat(1)
         self._tasks.append(asyncio.ensure_future(self._keep_beating()))
+        for attempts_left in (2, 1, 0):
+            try:
+                await self._start_entries(store_port)
+                return
+            except PortTaken:
+                self._kill_entries()
+                if attempts_left == 0:
+                    raise
+
+    async def _start_store(self):
+        while True:
+            port = free_ports(1)[0]
+            try:
+                await self.store.start(port)
+                return port
+            except OSError:
+                continue  # Taken by another process in the meantime.
+
+    async def _start_entries(self, store_port):
+        ports = free_ports(5 * self.entry_count)
+        self.front_ports = [ports[5 * number] for number in range(self.entry_count)]
         seeds = "[" + ",".join(f'"{HOST}:{ports[5 * i + 4]}"' for i in range(min(3, self.entry_count))) + "]"
         for number in range(self.entry_count):
             self._start_entry(number, ports[5 * number:5 * number + 5], store_port, seeds)
-        await asyncio.gather(*(self._wait_ready(ports[5 * i + 1]) for i in range(self.entry_count)))
+        await asyncio.gather(*(self._wait_ready(self.processes[i], ports[5 * i + 1]) for i in range(self.entry_count)))
 
     async def _put_config(self, routes, limits):
         services = sorted({endpoint.service for endpoint in self.endpoints})
@@ -297,11 +321,12 @@
         log = open(pathlib.Path(self.directory.name) / f"front-{number}.log", "wb")
         self.logs.append(log)
         self.processes.append(subprocess.Popen(command, cwd=ROOT, stdin=subprocess.DEVNULL, stdout=log, stderr=log))
-        self.front_ports.append(front)
 
-    async def _wait_ready(self, port, timeout_s=15.0):
+    async def _wait_ready(self, process, port, timeout_s=15.0):
         end = time.monotonic() + timeout_s
         while time.monotonic() < end:
+            if process.poll() is not None:
+                raise PortTaken()
             try:
                 reader, writer = await asyncio.open_connection(HOST, port)
                 writer.write(b"GET /-/ready HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
@@ -314,9 +339,7 @@
             await asyncio.sleep(0.05)
         raise RuntimeError("an entry instance did not become ready")
 
-    def stop(self):
-        for task in self._tasks:
-            task.cancel()
+    def _kill_entries(self):
         for process in self.processes:
             if process.poll() is None:
                 process.send_signal(signal.SIGCONT)
@@ -324,6 +347,12 @@
             process.wait()
         for log in self.logs:
             log.close()
+        self.processes, self.logs = [], []
+
+    def stop(self):
+        for task in self._tasks:
+            task.cancel()
+        self._kill_entries()
         for endpoint in self.endpoints:
             endpoint.stop()
         self.store.stop()
@@ -342,9 +371,15 @@
 
 def main(folder, play):
     """Runs `play(record folder)`, which returns (rule was kept, text), and exits with the result."""
+    async def run():
+        task = asyncio.ensure_future(asyncio.wait_for(play(pathlib.Path(folder)), 115))
+        # An interrupted run ends its processes, too.
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
+        return await task
+
     try:
-        kept, text = asyncio.run(asyncio.wait_for(play(pathlib.Path(folder)), 115))
-    except Exception as error:  # The case could not be run.
+        kept, text = asyncio.run(run())
+    except (Exception, asyncio.CancelledError) as error:  # The case could not be run.
         print(f"could not run: {type(error).__name__}: {error}")
         sys.exit(EXIT_NOT_RUN)
     print(text)
