--- a/review/lib/lab.py
+++ b/review/lib/lab.py
@@ -24,6 +24,7 @@
 HEARTBEAT_S = 1.5
 # The bounds of the small deployment kv-gateway.
 BOUNDS = {"graceS": "6", "retryBudgetRatio": "0.2", "retryBudgetSlack": "62"}
+LIMITS = {"maxHeaderBytes": 16384, "maxBodyBytes": 67108864, "headerTimeoutS": 3, "idleTimeoutS": 15}
 # Statuses that promise that the request has not run and never will.
 PROMISE_STATUSES = (408, 421, 429, 503)
 EXIT_HELD, EXIT_BROKEN, EXIT_NOT_RUN = 0, 1, 2
@@ -226,12 +227,22 @@
                              f"done {request_id}".encode())
 
 
+def config_of(version, routes, services):
+    """The operator's config, as it lies in the store; `routes` maps names of routes to their specs."""
+    resources = [{"entryKind": "routes", "metadata": {"name": name}, "spec": spec} for name, spec in routes.items()]
+    resources += [{"entryKind": "services", "metadata": {"name": name},
+                   "spec": {"healthPath": "/health", "maxConns": 260, "protocol": "h1", "tls": False}}
+                  for name in services]
+    resources.append({"entryKind": "limits", "metadata": {}, "spec": LIMITS})
+    return {"version": version, "resources": resources}
+
+
 class PortTaken(Exception):
     """An instance ended while it started: another process has taken one of its ports."""
 
 
 class Lab:
-    """Store, endpoints and entry instances. `endpoints` are started; `routes` are specs of the operator's config."""
+    """Store, endpoints and entry instances; `endpoints` are started with it."""
 
     def __init__(self, folder, entries=3):
         self.record = Record(folder)
@@ -248,11 +259,12 @@
         self.record.line(f"run      {request_id} at {endpoint.name}: {head.start_line[0]} {head.start_line[1]}, "
                          f"{len(body)} bytes")
 
-    async def start(self, routes, limits=None):
+    async def start(self, config):
+        """Starts everything; `config` is the operator's first config."""
         store_port = await self._start_store()
         for endpoint in self.endpoints:
             await endpoint.start()
-        await self._put_config(routes, limits)
+        await self.store.put("op/config", config)
         await self._beat(1)
         self._tasks.append(asyncio.ensure_future(self._keep_beating()))
         for attempts_left in (2, 1, 0):
@@ -281,17 +293,6 @@
             self._start_entry(number, ports[5 * number:5 * number + 5], store_port, seeds)
         await asyncio.gather(*(self._wait_ready(self.processes[i], ports[5 * i + 1]) for i in range(self.entry_count)))
 
-    async def _put_config(self, routes, limits):
-        services = sorted({endpoint.service for endpoint in self.endpoints})
-        resources = [{"entryKind": "routes", "metadata": {"name": name}, "spec": spec} for name, spec in routes.items()]
-        resources += [{"entryKind": "services", "metadata": {"name": name},
-                       "spec": {"healthPath": "/health", "maxConns": 260, "protocol": "h1", "tls": False}}
-                      for name in services]
-        resources.append({"entryKind": "limits", "metadata": {},
-                          "spec": limits or {"maxHeaderBytes": 16384, "maxBodyBytes": 67108864, "headerTimeoutS": 3,
-                                             "idleTimeoutS": 15}})
-        await self.store.put("op/config", {"version": "00000007", "resources": resources})
-
     async def _beat(self, sequence):
         for endpoint in self.endpoints:
             await self.store.put(f"servers/{endpoint.name}", endpoint.registration(sequence))
