--- a/libs/core/src/control.cc
+++ b/libs/core/src/control.cc
@@ -188,6 +188,7 @@
   parts.lists.generation = event.generation;
   ApplyLists(parts, *event.lists, event.now);
   if (!parts.options.discovery || parts.feed.as_of > 0)
+  parts.lists.lack_plans = event.lists->has_unreadable_plans;
     StartServing(parts);
   for (ServiceState& service : parts.services)
     DispatchWaiting(parts, service, event.now, effects);
--- a/libs/core/src/lists_apply.cc
+++ b/libs/core/src/lists_apply.cc
@@ -166,11 +166,15 @@
   std::vector<WeightedService> services = plan.config.split;
   if (services.empty())
     services.push_back({plan.config.service, 1});
+  double highest = 0;
+  for (const WeightedService& service : services)
+    highest = std::max(highest, service.weight);
   std::vector<PlanBranch> branches;
   for (const WeightedService& service : services) {
     PlanBranch& branch = branches.emplace_back();
     branch.service = FindService(parts, service.service);
-    branch.weight = service.weight;
+    // Relative to the highest one, so that sums of weights stay in range.
+    branch.weight = service.weight / highest;
     for (const PlanBranch& earlier : plan.branches) {
       if (earlier.service == branch.service)
         branch.credit = earlier.credit;
--- a/libs/core/src/lists_tracker.h
+++ b/libs/core/src/lists_tracker.h
@@ -13,12 +13,14 @@
   static constexpr std::chrono::seconds kMaxConfirmationAge{6};
 
   /**
-   * Whether the lists may be taken for the latest ones: confirmed lately, and no peer announces a newer generation.
-   * What they lack is not known to be wrong otherwise.
+   * Whether the lists may be taken for the latest ones, and whole: confirmed lately, no peer announces a newer
+   * generation, and no plan is missing. What they lack is not known to be wrong otherwise.
    */
   bool AreCurrent(TimePoint now) const;
 
   uint64_t generation = 0;
+  /** Whether the lists lack a plan that could not be decoded. */
+  bool lack_plans = false;
   /** Highest generation that a peer has announced, and when a peer last announced it. */
   uint64_t announced_generation = 0;
   TimePoint announced_at{};
--- a/libs/core/tests/lists_currency_test.cc
+++ b/libs/core/tests/lists_currency_test.cc
@@ -102,5 +102,20 @@
   CHECK(fixture.StatusOfUnmatchedCall() == kNotFound);
 }
 
+// Guards against 404 for a request whose plan is in the lists but could not be decoded.
+TEST_CASE("an instance whose lists lack a plan does not say that no plan covers a request") {
+  Fixture fixture;
+  fixture.Confirm(1);
+  CHECK(fixture.StatusOfUnmatchedCall() == kNotFound);
+  Lists lists = SingleInstance::MakeLists("s");
+  lists.plans.front().path_prefix = "/other/";
+  lists.has_unreadable_plans = true;
+  fixture.instance.ReceiveLists(2, lists);
+  CHECK(fixture.StatusOfUnmatchedCall() == kServiceUnavailable);
+  lists.has_unreadable_plans = false;
+  fixture.instance.ReceiveLists(3, lists);
+  CHECK(fixture.StatusOfUnmatchedCall() == kNotFound);
+}
+
 }  // namespace
 }  // namespace sassafras
--- a/libs/entry/src/fleet_link.cc
+++ b/libs/entry/src/fleet_link.cc
@@ -71,6 +71,12 @@
        {"source", std::string(source)},
        {"as_of", std::to_string(snapshot.as_of)},
        {"plans", std::to_string(snapshot.lists->plans.size())}});
+  if (snapshot.defects.count > 0) {
+    Log(LogLevel::kError, "plans_defects",
+        {{"generation", std::to_string(snapshot.generation)},
+         {"count", std::to_string(snapshot.defects.count)},
+         {"first", snapshot.defects.first}});
+  }
   m_plans_document = snapshot.document;
   m_compressed_plans = std::move(compressed);
   m_engine.Post(Event::ListsReceived{m_engine.Now(), snapshot.generation, snapshot.lists});
--- a/libs/lists/include/lists/lists.h
+++ b/libs/lists/include/lists/lists.h
@@ -19,6 +19,8 @@
   std::vector<Service> services;
   std::vector<Endpoint> endpoints;
   CallerLimits limits;
+  /** Whether a plan could not be decoded and is missing, so that a request without a plan may be one of its. */
+  bool has_unreadable_plans = false;
 };
 
 /**
--- a/libs/lists/include/lists/weighted_service.h
+++ b/libs/lists/include/lists/weighted_service.h
@@ -1,6 +1,5 @@
 #pragma once
 
-#include <cstdint>
 #include <string>
 
 namespace sassafras {
@@ -8,8 +7,8 @@
 /** One of several services among which the requests of a plan are divided. */
 struct WeightedService {
   std::string service;
-  /** Weight of the service, relative to the weights of the plan's other services. */
-  uint32_t weight = 1;
+  /** Weight of the service, finite and above 0, relative to the weights of the plan's other services. */
+  double weight = 1.0;
 };
 
 }  // namespace sassafras
--- /dev/null
+++ b/libs/store/include/store/plans_defects.h
@@ -0,0 +1,15 @@
+#pragma once
+
+#include <cstddef>
+#include <string>
+
+namespace sassafras {
+
+/** Parts of a plans document that could not be decoded, for the log. */
+struct PlansDefects {
+  size_t count = 0;
+  /** Where the first one is, and what stands in for it. */
+  std::string first;
+};
+
+}  // namespace sassafras
--- a/libs/store/include/store/plans_snapshot.h
+++ b/libs/store/include/store/plans_snapshot.h
@@ -4,6 +4,8 @@
 #include <memory>
 #include <string>
 
+#include "store/plans_defects.h"
+
 namespace sassafras {
 
 struct Lists;
@@ -17,6 +19,7 @@
   std::shared_ptr<const Lists> lists;
   /** The undecoded document, to pass on to peers. */
   std::string document;
+  PlansDefects defects;
 };
 
 }  // namespace sassafras
--- a/tests/platform/fleet.py
+++ b/tests/platform/fleet.py
@@ -204,11 +204,15 @@
 
     # Configuration
 
-    async def write_config(self):
+    async def write_config(self, more_resources=(), changed_specs=None):
+        """Writes the routes, with the fields of their specs that `changed_specs` gives by name, and more resources."""
         self.version += self.rng.randrange(1, 4)
         services = [{"entryKind": "services", "metadata": {"name": name},
                      "spec": {"healthPath": "/health", "maxConns": 100}} for name in ("shop", "orders", "spare")]
-        resources = [route.resource() for route in self.routes] + services
+        resources = [route.resource() for route in self.routes] + services + list(more_resources)
+        for resource in resources:
+            if isinstance(resource, dict) and "metadata" in resource:
+                resource["spec"].update((changed_specs or {}).get(resource["metadata"]["name"], {}))
         await self.store.put("op/config", {"version": f"{self.version:08x}", "resources": resources})
 
     # Points the route "moving" to another service.
--- a/tests/process/platform_test.py
+++ b/tests/process/platform_test.py
@@ -1,5 +1,6 @@
 """Entry instances on the users' platform: real processes against a stand-in of its store."""
 import asyncio
+import json
 import pathlib
 import random
 import signal
@@ -96,6 +97,21 @@
     run_under_load(9, hold_off)
 
 
+# Guards against an acknowledged configuration that no instance puts in force because of one value in it.
+def test_platform_a_config_with_odd_values_is_in_force():
+    async def write_odd_config(fleet):
+        odd = {"entryKind": "routes", "metadata": {"name": "odd"}, "spec": {"host": "shop.example", "prefix": "/odd/"}}
+        split = [{"service": "orders", "weight": 0.3}, {"service": "spare", "weight": 0}]
+        await fleet.write_config([odd, {"entryKind": "routes"}, 7], {"moving": {"backends": split, "service": None}})
+        fleet.routes[2].service_changes.append((time.monotonic(), "orders"))
+        await asyncio.sleep(3.0)
+        runs_before = len(fleet.runs)
+        await asyncio.sleep(2.0)
+        moving = [run for run in fleet.runs[runs_before:] if run.path.startswith("/moving/")]
+        assert moving and all(run.service == "orders" for run in moving), len(moving)
+    run_under_load(11, write_odd_config)
+
+
 def test_platform_planned_stops_cut_nothing():
     async def stop(fleet):
         for seed in range(2):
