--- a/Makefile
+++ b/Makefile
@@ -44,7 +44,7 @@
 
 fuzz:
 	cmake -S . -B $(BUILD)-fuzz -G Ninja -DCMAKE_CXX_COMPILER=clang++-14 -DSASSAFRAS_FUZZ=ON
-	cmake --build $(BUILD)-fuzz --target answer_fuzz request_fuzz
+	cmake --build $(BUILD)-fuzz --target answer_fuzz request_fuzz entries_fuzz plans_fuzz
 	tests/fuzz.sh $(BUILD)-fuzz $(SECONDS)
 
 mutants:
--- a/libs/core/src/discovery.cc
+++ b/libs/core/src/discovery.cc
@@ -5,6 +5,7 @@
 #include <chrono>
 #include <memory>
 #include <random>
+#include <utility>
 
 #include "base/backoff.h"
 #include "control.h"
@@ -43,6 +44,8 @@
 constexpr milliseconds kFirstReadPeerTimeout{60};
 /** Endpoint changes in one datagram. */
 constexpr size_t kMaxChangesPerMessage = 6;
+/** Bytes of their texts in one datagram, unless a single change has more. */
+constexpr size_t kMaxChangeTextBytesPerMessage = 600;
 
 /** How long an endpoint that the store no longer lists stays in use. */
 Duration RemovalDelay(const StateParts& parts, TimePoint now) {
@@ -66,17 +69,29 @@
   }
 }
 
+size_t TextBytes(const Endpoint& row) {
+  return row.name.size() + row.service.size() + row.address.size() + row.failure_domain.size();
+}
+
 /** Sends changes to every peer at once: changes are rare, and requests fail while peers do not know of one. */
 void BroadcastChanges(StateParts& parts,
                       const std::vector<EndpointChange>& new_changes,
                       TimePoint now,
                       Effects& effects) {
-  for (size_t start = 0; start < new_changes.size(); start += kMaxChangesPerMessage) {
-    const auto first = new_changes.begin() + static_cast<std::ptrdiff_t>(start);
-    const auto last =
-        new_changes.begin() + static_cast<std::ptrdiff_t>(std::min(new_changes.size(), start + kMaxChangesPerMessage));
-    AnnounceEndpointChanges(parts, std::vector<EndpointChange>(first, last), now, effects);
+  std::vector<EndpointChange> batch;
+  size_t batch_bytes = 0;
+  for (const EndpointChange& change : new_changes) {
+    const size_t bytes = TextBytes(change.row);
+    const bool full = batch.size() == kMaxChangesPerMessage || batch_bytes + bytes > kMaxChangeTextBytesPerMessage;
+    if (full && !batch.empty()) {
+      AnnounceEndpointChanges(parts, std::exchange(batch, {}), now, effects);
+      batch_bytes = 0;
+    }
+    batch.push_back(change);
+    batch_bytes += bytes;
   }
+  if (!batch.empty())
+    AnnounceEndpointChanges(parts, std::move(batch), now, effects);
 }
 
 bool IsEndpointReader(StateParts& parts, TimePoint now) {
--- a/libs/core/tests/discovery_test.cc
+++ b/libs/core/tests/discovery_test.cc
@@ -435,5 +435,28 @@
   CHECK(reads);
 }
 
+// Guards against datagrams that are too long to be sent because one of the endpoints in them has long texts.
+TEST_CASE("changes with long texts are spread over several datagrams") {
+  Fixture fixture;
+  fixture.ReceiveGossip({});
+  std::vector<EndpointChange> changes;
+  for (int i = 0; i < 6; ++i)
+    changes.push_back(SingleInstance::MakeChange("e" + std::to_string(i), 11 + static_cast<uint64_t>(i)));
+  changes[2].row.failure_domain = std::string(192, 'x');
+  changes[3].row.name = std::string(192, 'y');
+  changes[4].row.failure_domain = std::string(192, 'z');
+  changes[4].row.name = std::string(192, 'z');
+  Event::EndpointsReceived event{fixture.instance.Now(), 20, false, changes};
+  size_t sent_changes = 0;
+  for (const auto& sent : SingleInstance::EffectsOfType<Effect::SendGossip>(fixture.instance.HandleEvent(event))) {
+    size_t bytes = 0;
+    for (const EndpointChange& change : sent.message->endpoint_changes)
+      bytes += change.row.name.size() + change.row.failure_domain.size();
+    CHECK(bytes <= 600);
+    sent_changes += sent.message->endpoint_changes.size();
+  }
+  CHECK(sent_changes == changes.size());
+}
+
 }  // namespace
 }  // namespace sassafras
--- a/libs/peers/src/gossip_codec.cc
+++ b/libs/peers/src/gossip_codec.cc
@@ -22,7 +22,7 @@
 constexpr uint64_t kTraversalLimitWords = 4'096;
 constexpr int kNestingLimit = 8;
 constexpr size_t kMaxItemsPerMessage = 128;
-constexpr size_t kMaxTextBytes = 128;
+constexpr size_t kMaxTextBytes = 192;
 /** Longest lifetime of a rumor, and longest warm-up of an endpoint, that is accepted. */
 constexpr milliseconds kMaxLifetime = std::chrono::hours(1);
 
--- a/libs/peers/src/gossip_socket.cc
+++ b/libs/peers/src/gossip_socket.cc
@@ -7,6 +7,7 @@
 #include <fmt/format.h>
 
 #include "base/error.h"
+#include "base/log.h"
 #include "core/gossip_message.h"
 #include "net/http_client.h"
 #include "peers/gossip_codec.h"
@@ -47,8 +48,10 @@
 void GossipSocket::Send(const std::string& address, const GossipMessage& message) {
   const auto parsed = ParseAddress(address);
   const std::string bytes = EncodeGossip(message);
-  if (!parsed.ok() || bytes.size() > kMaxGossipBytes)
+  if (!parsed.ok() || bytes.size() > kMaxGossipBytes) {
+    Log(LogLevel::kError, "gossip_not_sent", {{"peer", address}, {"bytes", std::to_string(bytes.size())}});
     return;
+  }
   error_code error;
   m_socket.send_to(asio::buffer(bytes), udp::endpoint(parsed->address(), parsed->port()), 0, error);
   if (!error)
--- a/libs/peers/tests/gossip_codec_test.cc
+++ b/libs/peers/tests/gossip_codec_test.cc
@@ -87,6 +87,23 @@
   CHECK(decoded->endpoint_changes[5].warmup == message.endpoint_changes[5].warmup);
 }
 
+// Guards against one endpoint with long texts whose datagram is not sent, or is refused whole by every peer.
+TEST_CASE("the longest endpoint change that the store may hold fits into a datagram and is read") {
+  GossipMessage message;
+  message.sender = FullMessage().sender;
+  EndpointChange& change = message.endpoint_changes.emplace_back();
+  const std::string longest(192, 'x');
+  change.row = {longest, longest, "255.255.255.255:65535", longest, 100'000, 0};
+  change.incarnation = ~0ULL;
+  change.revision = ~0ULL;
+  change.warmup = std::chrono::hours(1);
+  const std::string bytes = EncodeGossip(message);
+  CHECK(bytes.size() < kMaxGossipBytes);
+  const auto decoded = DecodeGossip(Bytes(bytes));
+  REQUIRE(decoded.ok());
+  CHECK(decoded->endpoint_changes.front().row.name == longest);
+}
+
 TEST_CASE("decoding a damaged datagram gives an error or a message within the limits") {
   const std::string bytes = EncodeGossip(FullMessage());
   const bool passed = rc::check("damaged", [&] {
--- a/tests/process/platform_test.py
+++ b/tests/process/platform_test.py
@@ -97,6 +97,40 @@
     run_under_load(9, hold_off)
 
 
+# Guards against entries of another writer that end the processes which read the list, or stop them from following it.
+def test_platform_odd_entries_harm_no_instance():
+    sound = {"service": "shop", "address": "127.0.0.1:9", "zone": "a", "version": "v1", "capacity": 6, "state": "ready",
+             "warmupLeftS": 0, "sequence": 1}
+    odd = [b"[" * 100_000, b'{"a":' * 10_000 + b"1" + b"}" * 10_000, b'{"capacity":1e99999999999}', b"9" * 100_000,
+           b"\xff\x00\x01", b"", json.dumps({**sound, "address": "127.0.0.1:65536"}).encode(),
+           json.dumps({**sound, "capacity": 2**64}).encode(), json.dumps({**sound, "born": 1e300}).encode(),
+           json.dumps({**sound, "address": "127.0.0.1:0"}).encode(), json.dumps({**sound, "zone": "z" * 100_000}).encode(),
+           json.dumps({**sound, "service": "s\r\nX: y"}).encode()]
+
+    async def write_odd_entries(fleet):
+        started = [entry.process.pid for entry in fleet.entries]
+        for number, value in enumerate(odd):
+            await fleet.store.put(f"servers/odd-{number:02x}", value)
+            await fleet.store.put("servers/odd", value)
+        await fleet.store.put("servers/i-\r\nX: y", sound)
+        await asyncio.sleep(1.0)
+        # Also read as a whole, by an instance that starts and by those whose history is lost.
+        fleet.store.compact()
+        await soak_faults.planned_stop(fleet, random.Random(1))
+        await fleet.wait_ready()
+        assert sum(entry.process.pid in started for entry in fleet.entries) == len(started) - 1
+        assert all(entry.process.poll() is None for entry in fleet.entries)
+        added = await fleet.add_endpoint("orders", "a")
+        await asyncio.sleep(3.0)
+        assert any(run.endpoint == added.name for run in fleet.runs), "an endpoint that joined gets nothing"
+        await fleet.drain(added)
+        await asyncio.sleep(3.5)
+        late = [run for run in fleet.runs if run.endpoint == added.name
+                and run.arrived_at > fleet.leaving_since[added.name] + 2.4]
+        assert not late, late[0].request_id
+    run_under_load(10, write_odd_entries)
+
+
 # Guards against an acknowledged configuration that no instance puts in force because of one value in it.
 def test_platform_a_config_with_odd_values_is_in_force():
     async def write_odd_config(fleet):
