--- a/libs/core/src/control.cc
+++ b/libs/core/src/control.cc
@@ -177,6 +177,8 @@
   if (parts.phase != Phase::kLeaving || now < parts.close_at)
     return;
   parts.phase = Phase::kClosing;
+  // Once more, for peers that the first announcement did not reach.
+  AnnounceLeaving(parts, now, effects);
   effects.push_back(Effect::CloseListeners{});
 }
 
@@ -186,9 +188,9 @@
   if (event.generation <= parts.lists.generation)
     return;
   parts.lists.generation = event.generation;
+  parts.lists.lack_plans = event.lists->has_unreadable_plans;
   ApplyLists(parts, *event.lists, event.now);
   if (!parts.options.discovery || parts.feed.as_of > 0)
-  parts.lists.lack_plans = event.lists->has_unreadable_plans;
     StartServing(parts);
   for (ServiceState& service : parts.services)
     DispatchWaiting(parts, service, event.now, effects);
@@ -331,6 +333,7 @@
       std::min<Duration>(kLeavePropagationTime + parts.options.address_ttl, parts.options.linger_limit);
   parts.close_at = served ? event.now + linger : event.now;
   ReleaseSeats(parts, event.now, effects);
+  AnnounceLeaving(parts, event.now, effects);
   SendGossipRound(parts, event.now, effects);
 }
 
--- a/libs/core/src/gossip.cc
+++ b/libs/core/src/gossip.cc
@@ -27,8 +27,8 @@
 constexpr size_t kPeersQueriedAfterPause = 2;
 constexpr size_t kMaxMembersPerMessage = 2;
 constexpr size_t kMaxHeartbeatsPerMessage = 48;
-/** Members that were learned of more recently than this are sent first, so that joins propagate. */
-constexpr std::chrono::seconds kNewMemberAge{5};
+/** Members that joined or began to leave more recently than this are sent first, so that the news propagates. */
+constexpr std::chrono::seconds kMemberNewsAge{5};
 constexpr size_t kMaxLoadsPerMessage = 8;
 /**
  * A message goes to a silent peer with a probability of one in this many, so that the two sides of a network partition
@@ -112,14 +112,14 @@
   return parts.members.IsAlive(entry, now) && entry.member.incarnation != 0;
 }
 
-/** Adds members, starting at a random position; with `only_new`, only those learned of within kNewMemberAge. */
-void AddMembers(StateParts& parts, bool only_new, TimePoint now, GossipMessage& message) {
+/** Adds members, starting at a random position; with `only_news`, only those that changed within kMemberNewsAge. */
+void AddMembers(StateParts& parts, bool only_news, TimePoint now, GossipMessage& message) {
   const auto& entries = parts.members.All();
   const size_t start = entries.empty() ? 0 : parts.random() % entries.size();
   for (size_t step = 0; step < entries.size() && message.members.size() < kMaxMembersPerMessage; ++step) {
     const Membership::Entry& entry = entries[(start + step) % entries.size()];
-    const bool is_new = now - entry.learned_at < kNewMemberAge;
-    if (ShouldGossip(parts, entry, now) && (is_new || !only_new))
+    const bool is_news = now - entry.changed_at < kMemberNewsAge;
+    if (ShouldGossip(parts, entry, now) && (is_news || !only_news))
       message.members.push_back(entry.member);
   }
 }
@@ -252,6 +252,25 @@
   SpreadRumor(parts, rumor, now);
 }
 
+void SendToPeers(StateParts& parts,
+                 PeerFilter filter,
+                 const std::shared_ptr<const GossipMessage>& message,
+                 TimePoint now,
+                 Effects& effects) {
+  for (const Membership::Entry& entry : parts.members.All()) {
+    const bool self = entry.member.name == parts.self.name;
+    if (!self && MatchesFilter(parts, entry, filter, now))
+      effects.push_back(Effect::SendGossip{entry.member.peer_address, message});
+  }
+}
+
+/** Tells the own failure domain of a member that leaves: an instance that misses it would name it to callers. */
+void RelayLeavingMember(StateParts& parts, const Member& member, TimePoint now, Effects& effects) {
+  std::shared_ptr<GossipMessage> message = MakeBaseMessage(parts, now);
+  message->members.push_back(member);
+  SendToPeers(parts, PeerFilter::kAliveSameDomain, message, now, effects);
+}
+
 void ApplyLoad(StateParts& parts, const GossipMessage::EndpointLoad& load, TimePoint now) {
   const EndpointHandle endpoint = parts.endpoints.FindByHash(load.endpoint);
   if (!endpoint.IsValid())
@@ -275,7 +294,10 @@
   if (parts.members.UpdateStoreReachable(message.sender.name, message.sender.store_reachable, message.sender.heartbeat))
     parts.next_maintenance = event.now;
   const bool is_new_member = parts.members.Find(message.sender.name) == nullptr;
+  const bool was_leaving = parts.members.IsLeaving(message.sender);
   parts.members.MergeMember(message.sender, event.now);
+  if (message.relay && message.sender.leaving && !was_leaving)
+    RelayLeavingMember(parts, message.sender, event.now, effects);
   // A member that has just started knows only the seed peers.
   if (is_new_member && message.reply_to == 0)
     effects.push_back(Effect::SendGossip{message.sender.peer_address, MakeFullMessage(parts, event.now)});
@@ -328,19 +350,7 @@
 
 namespace {
 
-void SendToPeers(StateParts& parts,
-                 PeerFilter filter,
-                 const std::shared_ptr<const GossipMessage>& message,
-                 TimePoint now,
-                 Effects& effects) {
-  for (const Membership::Entry& entry : parts.members.All()) {
-    const bool self = entry.member.name == parts.self.name;
-    if (!self && MatchesFilter(parts, entry, filter, now))
-      effects.push_back(Effect::SendGossip{entry.member.peer_address, message});
-  }
-}
-
-/** Sends to a few random peers in each other failure domain. */
+/** Sends to a few random peers in each other failure domain; to leaving ones only where there are too few others. */
 void SendToRelays(StateParts& parts,
                   const std::shared_ptr<const GossipMessage>& message,
                   TimePoint now,
@@ -348,13 +358,15 @@
   const auto& entries = parts.members.All();
   absl::flat_hash_map<std::string_view, size_t> chosen;
   const size_t start = entries.empty() ? 0 : parts.random() % entries.size();
-  for (size_t step = 0; step < entries.size(); ++step) {
-    const Membership::Entry& entry = entries[(start + step) % entries.size()];
-    const bool other_domain = entry.member.failure_domain != parts.self.failure_domain;
-    if (!other_domain || !parts.members.IsAlive(entry, now) ||
-        chosen[entry.member.failure_domain]++ >= kRelaysPerDomain)
-      continue;
-    effects.push_back(Effect::SendGossip{entry.member.peer_address, message});
+  for (const bool leaving : {false, true}) {
+    for (size_t step = 0; step < entries.size(); ++step) {
+      const Membership::Entry& entry = entries[(start + step) % entries.size()];
+      const bool other_domain = entry.member.failure_domain != parts.self.failure_domain;
+      if (!other_domain || entry.member.leaving != leaving || !parts.members.IsAlive(entry, now) ||
+          chosen[entry.member.failure_domain]++ >= kRelaysPerDomain)
+        continue;
+      effects.push_back(Effect::SendGossip{entry.member.peer_address, message});
+    }
   }
 }
 
@@ -386,6 +398,14 @@
     SendToRelays(parts, message, now, effects);
 }
 
+void AnnounceLeaving(StateParts& parts, TimePoint now, Effects& effects) {
+  const std::shared_ptr<GossipMessage> message = MakeBaseMessage(parts, now);
+  SendToPeers(parts, PeerFilter::kAliveSameDomain, message, now, effects);
+  auto relayed = std::make_shared<GossipMessage>(*message);
+  relayed->relay = true;
+  SendToRelays(parts, relayed, now, effects);
+}
+
 void AnnounceSelf(StateParts& parts, TimePoint now, Effects& effects) {
   SendToPeers(parts, PeerFilter::kAlive, MakeBaseMessage(parts, now), now, effects);
 }
--- a/libs/core/src/gossip.h
+++ b/libs/core/src/gossip.h
@@ -35,6 +35,9 @@
 /** Announces the generation of the lists to a few peers, which fetch the lists and announce them in turn. */
 void AnnounceLists(StateParts& parts, TimePoint now, Effects& effects);
 
+/** Tells every peer, those of other failure domains through a few of them, that this instance is leaving. */
+void AnnounceLeaving(StateParts& parts, TimePoint now, Effects& effects);
+
 /** Sends this instance's own member entry to every peer at once. */
 void AnnounceSelf(StateParts& parts, TimePoint now, Effects& effects);
 
--- a/libs/core/src/membership.cc
+++ b/libs/core/src/membership.cc
@@ -20,7 +20,7 @@
   entry.member = member;
   entry.name_hash = Hash64(member.name);
   entry.heartbeat_id = static_cast<uint32_t>(HashCombine(entry.name_hash, member.incarnation));
-  entry.learned_at = now;
+  entry.changed_at = now;
   entry.heard_at = now;
 }
 
@@ -50,6 +50,8 @@
     return;
   }
   // Leaving is final for an incarnation, even if messages arrive out of order.
+  if (member.leaving && !known.leaving)
+    entry.changed_at = now;
   known.leaving = known.leaving || member.leaving;
   known.epoch = std::max(known.epoch, member.epoch);
   if (member.heartbeat > known.heartbeat)
@@ -121,6 +123,11 @@
   return names;
 }
 
+bool Membership::IsLeaving(const Member& member) const {
+  const Entry* entry = Find(member.name);
+  return entry != nullptr && entry->member.leaving && entry->member.incarnation == member.incarnation;
+}
+
 const Membership::Entry* Membership::Find(std::string_view name) const {
   const auto found = std::find_if(m_entries.begin(), m_entries.end(),
                                   [name](const Entry& entry) { return entry.member.name == name; });
--- a/libs/core/src/membership.h
+++ b/libs/core/src/membership.h
@@ -24,8 +24,8 @@
     uint64_t name_hash = 0;
     /** Short id of the member's incarnation, used in heartbeats. */
     uint32_t heartbeat_id = 0;
-    /** When this instance first learned of the member's incarnation. */
-    TimePoint learned_at;
+    /** When this instance first learned of the member's incarnation, or later that it leaves. */
+    TimePoint changed_at;
     /** When this instance last saw the heartbeat advance. */
     TimePoint heard_at;
     /** Whether the directory or the roster lists the member. */
@@ -62,6 +62,8 @@
   const std::vector<Entry>& All() const { return m_entries; }
   /** Finds a member by name; null if there is none. */
   const Entry* Find(std::string_view name) const;
+  /** Whether this incarnation of the member is known to be leaving. */
+  bool IsLeaving(const Member& member) const;
   /** Number of members that are alive and not leaving. */
   size_t CountServing(TimePoint now) const;
   /**
