--- a/libs/core/include/core/event.h
+++ b/libs/core/include/core/event.h
@@ -99,11 +99,13 @@
   };
   struct CallArrived {
     TimePoint now;
+    /** When the request head had been read: earlier than `now` by the time that the body took. Not set: `now`. */
+    TimePoint received_at{};
     /** Id that the I/O layer chose for the call; returned in effects. */
     uint64_t ticket = 0;
     /** Plan that matches the request; invalid if none does. */
     PlanHandle plan;
-    /** Time until the caller's deadline; the plan's deadline applies too. */
+    /** Time from then until the caller's deadline; the plan's deadline applies too. */
     Duration time_left = Duration::max();
     /** Hash of method, path and body. */
     uint64_t fingerprint = 0;
--- a/libs/core/src/calls.cc
+++ b/libs/core/src/calls.cc
@@ -17,9 +17,13 @@
 /** A caller that allows more time, or states no limit, is taken to wait this long. */
 constexpr std::chrono::hours kMaxCallerWait{1};
 
+TimePoint ReceivedAt(const Event::CallArrived& event) {
+  return event.received_at == TimePoint() ? event.now : event.received_at;
+}
+
 /** Returns the time until which the caller waits, by what it stated. */
 TimePoint CallerDeadline(const Event::CallArrived& event) {
-  return event.now + std::min<Duration>(event.time_left, kMaxCallerWait);
+  return ReceivedAt(event) + std::min<Duration>(event.time_left, kMaxCallerWait);
 }
 
 /** Returns how long the caller has been trying, if this instance rejected it before. */
@@ -51,7 +55,7 @@
   call.arrived_at = event.now;
   call.spent_before = SpentBefore(parts, event);
   const Duration limit = std::min<Duration>(event.time_left, parts.At(event.plan).config.deadline);
-  call.deadline = event.now + limit;
+  call.deadline = ReceivedAt(event) + limit;
   call.caller_deadline = CallerDeadline(event);
   effects.push_back(Effect::Accepted{event.ticket, handle});
   return handle;
--- a/libs/entry/src/attempt.cc
+++ b/libs/entry/src/attempt.cc
@@ -9,6 +9,7 @@
 #include "engine.h"
 #include "entry/http_dialect.h"
 #include "net/http_client.h"
+#include "read_deadline.h"
 #include "upstream_headers.h"
 #include "upstream_pool.h"
 
@@ -180,10 +181,14 @@
     parser.get().body().data = relay_buffer.data();
     parser.get().body().size = relay_buffer.size();
     CallerStream& caller = m_exchange.Caller();
-    caller.stream.expires_at(m_target.deadline);
+    const ReadDeadline deadline(caller, m_target.deadline - m_engine.Now());
     co_await http::async_read_some(caller.stream, caller.buffer, parser, AwaitWithError(error));
+    error = deadline.Resolve(error);
     if (error == http::error::need_buffer)
       error = {};
+    // The caller still waits for the response that the call ends with.
+    if (error == beast::error::timeout)
+      co_return error;
     if (error) {
       // Closes the connection, so that the endpoint cannot take the truncated request for a complete one.
       caller.disconnected = true;
--- a/libs/entry/src/call_exchange.cc
+++ b/libs/entry/src/call_exchange.cc
@@ -36,7 +36,11 @@
     m_engine.Unregister(m_ticket);
 }
 
-void CallExchange::Submit(PlanHandle plan, Duration time_left, uint64_t fingerprint, const Idempotency& idempotency) {
+void CallExchange::Submit(PlanHandle plan,
+                          TimePoint received_at,
+                          Duration time_left,
+                          uint64_t fingerprint,
+                          const Idempotency& idempotency) {
   m_plan = plan;
   m_repeat_safe = plan.IsValid() && m_engine.GetState().PlanConfig(plan).repeat == Repeat::kSafe;
   m_ticket = m_engine.Register(*this);
@@ -45,6 +49,7 @@
   event.now = m_submitted_at;
   event.ticket = m_ticket;
   event.plan = plan;
+  event.received_at = received_at;
   event.time_left = time_left;
   event.fingerprint = fingerprint;
   event.replayable = BodyComplete();
--- a/libs/entry/src/call_exchange.h
+++ b/libs/entry/src/call_exchange.h
@@ -60,9 +60,14 @@
   /**
    * Submits the call to the reducer.
    * @param plan       plan that matches the request; invalid if none does
-   * @param time_left  time that the caller will wait
+   * @param received_at  when the request head had been read
+   * @param time_left    time that the caller will wait, from then on
    */
-  void Submit(PlanHandle plan, Duration time_left, uint64_t fingerprint, const Idempotency& idempotency);
+  void Submit(PlanHandle plan,
+              TimePoint received_at,
+              Duration time_left,
+              uint64_t fingerprint,
+              const Idempotency& idempotency);
   /** Waits until the call has ended. */
   asio::awaitable<Completion> WaitForCompletion();
   /** Handles that the caller closed its connection while the call was in progress. */
--- a/libs/entry/src/caller_session.cc
+++ b/libs/entry/src/caller_session.cc
@@ -14,6 +14,8 @@
 #include "engine.h"
 #include "entry/http_dialect.h"
 #include "lists/caller_limits.h"
+#include "lists/plan.h"
+#include "read_deadline.h"
 #include "request_parsing.h"
 #include "session_limits.h"
 
@@ -22,6 +24,14 @@
 
 /** Size of the read that waits for the next request on an idle connection. */
 constexpr size_t kIdleReadBytes = 4'096;
+/**
+ * Longest time for which the rest of a request is read and dropped after its response. A connection that is closed with
+ * unread bytes is reset, and the caller may lose the response.
+ */
+constexpr std::chrono::seconds kUnreadDiscardTime{1};
+constexpr size_t kMaxUnreadDiscardBytes = 1u << 20u;
+/** Longest time for a request that no plan covers. */
+constexpr std::chrono::hours kMaxRequestTime{1};
 constexpr std::string_view kPagePrefix = "/sassafras/";
 constexpr int kHttpVersionNotSupported = 505;
 constexpr int kNotImplemented = 501;
@@ -100,9 +110,21 @@
       more = co_await ServeRequest();
   }
   m_caller->stream.socket().shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+  if (m_request_unread)
+    co_await DiscardUnread();
   m_caller->stream.close();
 }
 
+asio::awaitable<void> CallerSession::DiscardUnread() {
+  m_caller->stream.expires_after(kUnreadDiscardTime);
+  m_caller->buffer.clear();
+  error_code error;
+  size_t discarded = 0;
+  while (!error && discarded < kMaxUnreadDiscardBytes)
+    discarded +=
+        co_await m_caller->stream.async_read_some(m_caller->buffer.prepare(kIdleReadBytes), AwaitWithError(error));
+}
+
 asio::awaitable<bool> CallerSession::WaitForRequest() {
   if (m_caller->buffer.size() > 0)
     co_return true;
@@ -134,13 +156,9 @@
     parser->body_limit(limits.body_bytes);
   else
     parser->body_limit(boost::none);
-  m_caller->stream.expires_after(limits.header_timeout);
-  error_code error;
-  co_await http::async_read_header(m_caller->stream, m_caller->buffer, *parser, AwaitWithError(error));
-  if (error == http::error::end_of_stream)
-    co_return false;
-  if (error) {
-    co_await RejectRequest(*parser, ReadRejection("head", error), false);
+  if (const error_code error = co_await ReadRequestHead(*parser)) {
+    if (error != http::error::end_of_stream)
+      co_await RejectUnread(*parser, ReadRejection("head", error));
     co_return false;
   }
   const auto& head = parser->get();
@@ -160,13 +178,20 @@
   co_return co_await ServeCall(std::move(parser));
 }
 
+asio::awaitable<error_code> CallerSession::ReadRequestHead(Parser& parser) {
+  const ReadDeadline deadline(*m_caller, m_engine.GetState().Limits().header_timeout);
+  error_code error;
+  co_await http::async_read_header(m_caller->stream, m_caller->buffer, parser, AwaitWithError(error));
+  co_return deadline.Resolve(error);
+}
+
 asio::awaitable<bool> CallerSession::ServePage(Parser& parser) {
   const Page page = m_pages.Render(ToStringView(parser.get().target()));
   const bool keep_alive = parser.is_done() && parser.get().keep_alive() && !m_closing;
   co_return co_await WriteTextResponse(page.status, page.content_type, page.body, keep_alive);
 }
 
-asio::awaitable<error_code> CallerSession::BufferRequestBody(CallExchange& exchange) {
+asio::awaitable<error_code> CallerSession::BufferRequestBody(CallExchange& exchange, TimePoint call_deadline) {
   Parser& parser = exchange.Request();
   std::string& body = exchange.Body();
   error_code error;
@@ -180,8 +205,10 @@
     body.resize(old_size + kReadBytes);
     parser.get().body().data = body.data() + old_size;
     parser.get().body().size = kReadBytes;
-    m_caller->stream.expires_after(m_engine.GetState().Limits().header_timeout);
+    const Duration pause_limit = m_engine.GetState().Limits().header_timeout;
+    const ReadDeadline deadline(*m_caller, std::min(pause_limit, call_deadline - m_engine.Now()));
     co_await http::async_read_some(m_caller->stream, m_caller->buffer, parser, AwaitWithError(error));
+    error = deadline.Resolve(error);
     if (error == http::error::need_buffer)
       error = {};
     body.resize(old_size + kReadBytes - parser.get().body().size);
@@ -189,6 +216,14 @@
   co_return error;
 }
 
+Duration CallerSession::PlanDeadline(const http::fields& fields,
+                                     std::string_view method,
+                                     std::string_view target) const {
+  const State& state = m_engine.GetState();
+  const PlanHandle plan = state.FindPlan(HostOf(fields), method, PathOf(target));
+  return plan.IsValid() ? state.PlanConfig(plan).deadline : kMaxRequestTime;
+}
+
 asio::awaitable<bool> CallerSession::ServeCall(std::unique_ptr<Parser> parser) {
   // A leaving instance closes its connections soon, so callers are told not to reuse them.
   const bool leaving = m_closing || m_engine.GetState().CurrentPhase() == Phase::kLeaving;
@@ -198,13 +233,15 @@
   auto exchange =
       std::make_shared<CallExchange>(m_engine, m_pool, m_dialect, m_connect_timeout, m_caller, std::move(parser));
   exchange->SetKeepAlive(keep_alive);
-  if (const error_code error = co_await BufferRequestBody(*exchange)) {
-    co_await RejectRequest(exchange->Request(), ReadRejection("body", error), false);
+  const http::fields& fields = exchange->Request().get();
+  const TimePoint head_read_at = m_engine.Now();
+  const auto time_left = m_dialect.ReadTimeLeft(fields);
+  const Duration limit = std::min<Duration>(time_left.value_or(Duration::max()), PlanDeadline(fields, method, target));
+  if (const error_code error = co_await BufferRequestBody(*exchange, head_read_at + limit)) {
+    co_await RejectUnread(exchange->Request(), ReadRejection("body", error));
     co_return false;
   }
   const bool connection_reusable = keep_alive && exchange->BodyComplete();
-  const http::fields& fields = exchange->Request().get();
-  const auto time_left = m_dialect.ReadTimeLeft(fields);
   if (!time_left.ok()) {
     const Rejection rejection{.remedy = MessageOf(time_left.status())};
     co_return co_await RejectRequest(exchange->Request(), rejection, connection_reusable);
@@ -217,10 +254,11 @@
     co_return co_await RejectRequest(exchange->Request(), rejection, connection_reusable);
   }
   const PlanHandle plan = m_engine.GetState().FindPlan(HostOf(fields), method, PathOf(target));
-  exchange->Submit(plan, *time_left, RequestFingerprint(method, target, exchange->Body()), *idempotency);
+  exchange->Submit(plan, head_read_at, *time_left, RequestFingerprint(method, target, exchange->Body()), *idempotency);
   if (exchange->BodyComplete())
     WatchForDisconnect(exchange);
   const CallExchange::Completion completion = co_await exchange->WaitForCompletion();
+  m_request_unread = !exchange->BodyComplete() && completion != CallExchange::Completion::kTruncated;
   co_return co_await FinishCall(*exchange, completion);
 }
 
@@ -298,6 +336,11 @@
   co_return co_await WriteRejection(request, std::move(rejection), keep_alive);
 }
 
+asio::awaitable<void> CallerSession::RejectUnread(const CallExchange::Parser& request, Rejection rejection) {
+  m_request_unread = true;
+  co_await RejectRequest(request, std::move(rejection), false);
+}
+
 asio::awaitable<bool> CallerSession::WriteRejection(const CallExchange::Parser& request,
                                                     Rejection rejection,
                                                     bool keep_alive) {
--- a/libs/entry/src/caller_session.h
+++ b/libs/entry/src/caller_session.h
@@ -3,6 +3,7 @@
 #include <chrono>
 #include <memory>
 #include <string>
+#include <string_view>
 
 #include "call_exchange.h"
 #include "caller_stream.h"
@@ -43,12 +44,19 @@
   asio::awaitable<bool> ServePage(Parser& parser);
   asio::awaitable<bool> FinishCall(CallExchange& exchange, CallExchange::Completion completion);
   /** Reads the body up to the size that is buffered; returns the error that ended it early, if any. */
-  asio::awaitable<error_code> BufferRequestBody(CallExchange& exchange);
+  asio::awaitable<error_code> BufferRequestBody(CallExchange& exchange, TimePoint call_deadline);
+  asio::awaitable<error_code> ReadRequestHead(Parser& parser);
+  /** Longest time that the request may take by the plan that covers it. */
+  Duration PlanDeadline(const http::fields& fields, std::string_view method, std::string_view target) const;
+  /** Reads and drops what still arrives of a request, until the caller closes or a short time has passed. */
+  asio::awaitable<void> DiscardUnread();
   asio::awaitable<bool> WriteTextResponse(int status, std::string content_type, std::string body, bool keep_alive);
   /** HTTP status code of the response for `rejection`. */
   uint16_t StatusOf(const Rejection& rejection) const;
   /** Logs and rejects a request that has not become a call. */
   asio::awaitable<bool> RejectRequest(const CallExchange::Parser& request, Rejection rejection, bool keep_alive);
+  /** Like RejectRequest(), for a request that was not read to its end: the connection is closed after the response. */
+  asio::awaitable<void> RejectUnread(const CallExchange::Parser& request, Rejection rejection);
   asio::awaitable<bool> WriteRejection(const CallExchange::Parser& request, Rejection rejection, bool keep_alive);
   asio::awaitable<bool> WriteRecorded(const RecordedAnswer& recorded, bool head_request, bool keep_alive);
   void WatchForDisconnect(const std::shared_ptr<CallExchange>& exchange);
@@ -62,6 +70,8 @@
   std::chrono::milliseconds m_connect_timeout;
   bool m_idle = false;
   bool m_closing = false;
+  /** Whether a part of the last request may still arrive although its response was written. */
+  bool m_request_unread = false;
 };
 
 }  // namespace sassafras
--- a/libs/entry/tests/attempt_test.cc
+++ b/libs/entry/tests/attempt_test.cc
@@ -92,7 +92,7 @@
     exchange = std::make_shared<CallExchange>(engine, pool, dialect, std::chrono::milliseconds(200),
                                               std::make_shared<CallerStream>(asio::ip::tcp::socket(context)),
                                               std::move(request));
-    exchange->Submit(engine.GetState().FindPlan("h", "GET", "/x"), std::chrono::seconds(1), 1, {});
+    exchange->Submit(engine.GetState().FindPlan("h", "GET", "/x"), {}, std::chrono::seconds(1), 1, {});
     REQUIRE(engine.GetState().InFlight(kEndpoint) == 1);
   }
 
--- a/libs/entry/tests/call_fixture.h
+++ b/libs/entry/tests/call_fixture.h
@@ -145,7 +145,6 @@
     }
   }
 
- private:
   /** Connects `caller` to a new session. */
   void Connect(asio::ip::tcp::socket& caller) {
     asio::ip::tcp::acceptor acceptor(m_context, {asio::ip::address_v4::loopback(), 0});
@@ -161,6 +160,7 @@
         });
   }
 
+ private:
   static StateOptions MakeOptions() {
     StateOptions options;
     options.self.name = "i0";
