--- a/libs/entry/src/caller_session.cc
+++ b/libs/entry/src/caller_session.cc
@@ -162,6 +162,12 @@
     co_return false;
   }
   const auto& head = parser->get();
+  // Where such a body ends cannot be known, so its bytes could be taken for requests of their own.
+  if (head.find(http::field::transfer_encoding) != head.end() && !parser->chunked()) {
+    Rejection rejection{.remedy = "send the body in chunks or with a length, without other codings"};
+    co_await RejectUnread(*parser, std::move(rejection));
+    co_return false;
+  }
   if (head.version() != 11) {
     co_await WriteTextResponse(kHttpVersionNotSupported, "text/plain", "use HTTP/1.1\n", false);
     co_return false;
--- a/libs/entry/tests/slow_request_test.cc
+++ b/libs/entry/tests/slow_request_test.cc
@@ -141,5 +141,26 @@
   CHECK(time_left_ms <= 600);
 }
 
+// Guards against a body whose end cannot be known being read as a request of its own.
+TEST_CASE("a request with a transfer coding other than chunked is rejected and its connection closed") {
+  const std::string inner = "POST /inner HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n";
+  const NativeDialect dialect;
+  for (const std::string framing : {"Transfer-Encoding: gzip\r\n", "Transfer-Encoding: identity\r\n",
+                                    "Transfer-Encoding: chunked, gzip\r\n", "Transfer-Encoding: xchunked\r\n",
+                                    "Transfer-Encoding:\r\n", "Transfer-Encoding: gzip\r\nContent-Length: 3\r\n"}) {
+    CAPTURE(framing);
+    CallFixture fixture(dialect);
+    const ScriptedEndpoint& endpoint = fixture.AddEndpoint(PlayOk());
+    fixture.Serve(Repeat::kNever, kDeadline);
+    SlowCaller caller(fixture);
+    caller.Write("POST /x HTTP/1.1\r\nHost: h\r\nSassafras-Request-Id: own\r\n" + framing + "\r\n" + inner);
+    caller.WaitForResponse();
+    const std::string received = caller.Received();
+    CHECK(received.starts_with("HTTP/1.1 400"));
+    CHECK(received.find("HTTP/1.1", 1) == std::string::npos);
+    CHECK(endpoint.RequestCount() == 0);
+  }
+}
+
 }  // namespace
 }  // namespace sassafras
