Good health checks without a load report are no failures of their endpoints

Read in the code by the review: OnLoadProbeEnded counted every answer without a load report as a failure, so that sound endpoints of a service that does not report its load were ejected in turn. Now only a check that was not answered well counts. The new case of ask_first_test failed before: after 30 calls no endpoint was asked any more.

--- a/libs/core/src/load_probing.cc
+++ b/libs/core/src/load_probing.cc
@@ -236,7 +236,7 @@
     const float utilization = UtilizationWithNextAttempt(parts.At(event.endpoint), event.load);
     call->probed_utilizations[index] = utilization;
     RecordProbedUtilization(parts.ServiceOf(*call), utilization, event.now);
-  } else if (!event.withdrawn) {
+  } else if (!event.answered && !event.withdrawn) {
     RecordFailure(parts, event.endpoint, event.now);
   }
   if (estimate <= kGoodEnoughFactor * expected && IsEligible(parts, *call, event.endpoint, event.now)) {
