--- a/libs/entry/src/upstream_headers.cc
+++ b/libs/entry/src/upstream_headers.cc
@@ -27,7 +27,10 @@
 LoadReport ReadLoadReport(const http::fields& fields) {
   LoadReport report;
   report.present = ParseNumber(Text(fields, kUpstreamLoadHeader), report.in_flight);
-  ParseNumber(Text(fields, kUpstreamIncarnationHeader), report.incarnation);
+  if (!report.present)
+    report.in_flight = 0;
+  if (!ParseNumber(Text(fields, kUpstreamIncarnationHeader), report.incarnation))
+    report.incarnation = 0;
   report.draining = Text(fields, kUpstreamDrainingHeader) == "1";
   return report;
 }
