Requests reach endpoints as their callers sent them: keys, Host, trailers and absolute targets

The dialect now says whether callers may send idempotency keys; Host is no header of the connection; the head of a request in chunks is kept as it was received; absolute targets are taken apart.

--- a/libs/entry/include/entry/http_dialect.h
+++ b/libs/entry/include/entry/http_dialect.h
@@ -36,6 +36,8 @@
 
   virtual ~HttpDialect() = default;
 
+  /** Whether callers may send idempotency keys to this instance; if not, that header is passed on like any other. */
+  virtual bool TakesIdempotencyKeys() const = 0;
   /** Reads how long the caller will still wait; Duration::max() if the request does not say. */
   virtual absl::StatusOr<Duration> ReadTimeLeft(const Fields& fields) const = 0;
   /** Request id for log lines; empty if the request has none. */
--- a/libs/entry/include/entry/native_dialect.h
+++ b/libs/entry/include/entry/native_dialect.h
@@ -7,6 +7,7 @@
 /** The native Sassafras headers; see docs/PROTOCOL.md. */
 class NativeDialect : public HttpDialect {
  public:
+  bool TakesIdempotencyKeys() const override { return true; }
   absl::StatusOr<Duration> ReadTimeLeft(const Fields& fields) const override;
   std::string_view RequestId(const Fields& fields) const override;
   void SetAttemptHeaders(RequestHead& head,
--- a/libs/entry/src/attempt.cc
+++ b/libs/entry/src/attempt.cc
@@ -144,8 +144,7 @@
 }
 
 asio::awaitable<error_code> Attempt::SendRequest() {
-  const auto& received = m_exchange.Request().get();
-  http::request_header<> head = received;
+  http::request_header<> head = m_exchange.Head();
   RemoveHopByHopHeaders(head);
   head.version(11);
   head.erase(http::field::expect);
@@ -156,7 +155,7 @@
   request.body() = {m_exchange.Body().data(), m_exchange.Body().size()};
   // The body is complete, so its length is known even if the caller used chunked encoding.
   request.chunked(false);
-  if (!request.body().empty() || received.has_content_length() || received.chunked())
+  if (!request.body().empty() || m_exchange.Request().content_length().has_value() || m_exchange.Request().chunked())
     request.content_length(request.body().size());
   error_code error;
   co_await http::async_write(m_connection->stream, request, AwaitWithError(error));
@@ -200,7 +199,7 @@
 }
 
 asio::awaitable<error_code> Attempt::ReadResponseHead() {
-  const bool head_request = m_exchange.Request().get().method() == http::verb::head;
+  const bool head_request = m_exchange.Head().method() == http::verb::head;
   error_code error;
   for (int interim = 0; interim <= kMaxInterimResponses; ++interim) {
     m_response.emplace();
@@ -220,7 +219,7 @@
     error = co_await ReadResponseHead();
     if (error)
       co_return error;
-    kind = m_dialect.Classify(m_exchange.Request().get(), m_response->get());
+    kind = m_dialect.Classify(m_exchange.Head(), m_response->get());
     // After a response delimited by the end of the connection, none can follow for this request.
     if (kind != ResponseKind::kMismatched || m_response->need_eof())
       co_return error;
--- a/libs/entry/src/call_exchange.cc
+++ b/libs/entry/src/call_exchange.cc
@@ -29,7 +29,10 @@
       m_request(std::move(request)),
       m_completion_timer(m_caller->stream.get_executor(), TimePoint::max()),
       m_hedge_timer(m_caller->stream.get_executor()),
-      m_probe_wait_timer(m_caller->stream.get_executor()) {}
+      m_probe_wait_timer(m_caller->stream.get_executor()) {
+  if (m_request->is_header_done() && m_request->chunked())
+    m_received_head = m_request->get();
+}
 
 CallExchange::~CallExchange() {
   if (m_ticket != 0)
@@ -67,7 +70,7 @@
 
 void CallExchange::WriteLogLine() {
   const State& state = m_engine.GetState();
-  const std::string_view id = m_dialect.RequestId(m_request->get());
+  const std::string_view id = m_dialect.RequestId(Head());
   const Duration elapsed = m_engine.Now() - m_submitted_at;
   if (m_completion == Completion::kAnswered || m_completion == Completion::kRecorded)
     m_log.WriteAnswered(id, state, m_plan, m_last_attempt_status, elapsed);
--- a/libs/entry/src/call_exchange.h
+++ b/libs/entry/src/call_exchange.h
@@ -53,6 +53,10 @@
   std::string& Body() { return m_body; }
   bool BodyComplete() const { return m_request->is_done(); }
   Parser& Request() { return *m_request; }
+  /** The head of the request as it was received: without fields of a trailer, which the parser adds to its own. */
+  const http::request_header<>& Head() const {
+    return m_received_head.has_value() ? *m_received_head : m_request->get();
+  }
   CallerStream& Caller() { return *m_caller; }
   bool KeepAlive() const { return m_keep_alive; }
   void SetKeepAlive(bool keep_alive) { m_keep_alive = keep_alive; }
@@ -111,6 +115,8 @@
   std::chrono::milliseconds m_connect_timeout;
   std::shared_ptr<CallerStream> m_caller;
   std::unique_ptr<Parser> m_request;
+  /** Copy of the head of a request in chunks, which may have a trailer. */
+  std::optional<http::request_header<>> m_received_head;
   std::string m_body;
   bool m_keep_alive = true;
   bool m_repeat_safe = false;
--- a/libs/entry/src/caller_session.cc
+++ b/libs/entry/src/caller_session.cc
@@ -161,6 +161,7 @@
       co_await RejectUnread(*parser, ReadRejection("head", error));
     co_return false;
   }
+  UseOriginForm(parser->get());
   const auto& head = parser->get();
   // Where such a body ends cannot be known, so its bytes could be taken for requests of their own.
   if (head.find(http::field::transfer_encoding) != head.end() && !parser->chunked()) {
@@ -239,7 +240,7 @@
   auto exchange =
       std::make_shared<CallExchange>(m_engine, m_pool, m_dialect, m_connect_timeout, m_caller, std::move(parser));
   exchange->SetKeepAlive(keep_alive);
-  const http::fields& fields = exchange->Request().get();
+  const http::fields& fields = exchange->Head();
   const TimePoint head_read_at = m_engine.Now();
   const auto time_left = m_dialect.ReadTimeLeft(fields);
   const Duration limit = std::min<Duration>(time_left.value_or(Duration::max()), PlanDeadline(fields, method, target));
@@ -252,7 +253,8 @@
     const Rejection rejection{.remedy = MessageOf(time_left.status())};
     co_return co_await RejectRequest(exchange->Request(), rejection, connection_reusable);
   }
-  const auto idempotency = ReadIdempotency(fields, method, PathOf(target));
+  const auto idempotency =
+      m_dialect.TakesIdempotencyKeys() ? ReadIdempotency(fields, method, PathOf(target)) : Idempotency();
   if (!idempotency.ok()) {
     const bool missing = fields.find(kOwnerHeader) == fields.end();
     const Rejection rejection{.reason = missing ? Reason::kOwnerMissing : Reason::kBadOwner,
--- a/libs/entry/src/request_parsing.cc
+++ b/libs/entry/src/request_parsing.cc
@@ -1,5 +1,9 @@
 #include "request_parsing.h"
 
+#include <algorithm>
+#include <string>
+
+#include <boost/beast/core/string.hpp>
 #include <fmt/format.h>
 
 #include "base/error.h"
@@ -33,6 +37,18 @@
 
 }  // namespace
 
+void UseOriginForm(http::request_header<>& head) {
+  constexpr std::string_view kScheme = "http://";
+  const std::string target(head.target());
+  if (!boost::beast::iequals({target.data(), std::min(target.size(), kScheme.size())},
+                             {kScheme.data(), kScheme.size()}))
+    return;
+  const size_t authority_end = std::min(target.find_first_of("/?", kScheme.size()), target.size());
+  const std::string rest = target.substr(authority_end);
+  head.set(http::field::host, target.substr(kScheme.size(), authority_end - kScheme.size()));
+  head.target(rest.starts_with('/') ? rest : "/" + rest);
+}
+
 std::string_view PathOf(std::string_view target) {
   return target.substr(0, target.find('?'));
 }
--- a/libs/entry/src/request_parsing.h
+++ b/libs/entry/src/request_parsing.h
@@ -16,6 +16,12 @@
 constexpr std::string_view kOwnerHeader = "Sassafras-Owner";
 constexpr std::string_view kDeadlineHeader = "Sassafras-Deadline-Ms";
 
+/**
+ * Turns the target of a request in absolute form, "http://host/path", into the path alone; the host replaces that of
+ * the Host header.
+ */
+void UseOriginForm(http::request_header<>& head);
+
 /** Returns the path of a request target, without its query. */
 std::string_view PathOf(std::string_view target);
 
--- a/libs/entry/src/upstream_headers.cc
+++ b/libs/entry/src/upstream_headers.cc
@@ -1,5 +1,6 @@
 #include "upstream_headers.h"
 
+#include <algorithm>
 #include <array>
 #include <string>
 #include <vector>
@@ -22,6 +23,15 @@
     http::field::connection, http::field::keep_alive, http::field::proxy_connection,  http::field::te,
     http::field::trailer,    http::field::upgrade,    http::field::proxy_authenticate};
 
+/** Headers that a sender must not be able to remove: the framing ones, and the one that selects the plan. */
+constexpr std::array<std::string_view, 3> kEndToEndHeaders = {"content-length", "transfer-encoding", "host"};
+
+bool IsEndToEnd(std::string_view name) {
+  return std::any_of(kEndToEndHeaders.begin(), kEndToEndHeaders.end(), [name](std::string_view kept) {
+    return boost::beast::iequals({name.data(), name.size()}, {kept.data(), kept.size()});
+  });
+}
+
 }  // namespace
 
 LoadReport ReadLoadReport(const http::fields& fields) {
@@ -44,8 +54,7 @@
   for (const auto token : http::token_list(fields[http::field::connection]))
     connection_options.emplace_back(token);
   for (const std::string& name : connection_options) {
-    // The sender must not be able to remove the framing headers.
-    if (!boost::beast::iequals(name, "content-length") && !boost::beast::iequals(name, "transfer-encoding"))
+    if (!IsEndToEnd(name))
       fields.erase(name);
   }
   for (const http::field field : kHopByHopHeaders)
