--- a/libs/core/src/discovery.cc
+++ b/libs/core/src/discovery.cc
@@ -32,8 +32,9 @@
 constexpr milliseconds kEndpointReadPeriod{900};
 /** Longest time that a read waits for a change. */
 constexpr milliseconds kMaxChangeWait{2'000};
-/** Minimum time from the receipt of endpoints to the next read. */
+/** Minimum time from the receipt of endpoints to the next read: after a change, and after heartbeats alone. */
 constexpr milliseconds kReadPauseAfterChange{150};
+constexpr milliseconds kReadPauseAfterHeartbeats{300};
 /** Other instances read the store too once the last confirmation of the endpoints is older than this. */
 constexpr milliseconds kMaxEndpointsConfirmationAge{3'500};
 /** Time for which a peer's endpoints may differ before this instance reads all of them from that peer or the store. */
@@ -171,8 +172,10 @@
   feed.as_of = event.as_of;
   if (!event.may_lag)
     feed.confirmed_at = std::max(feed.confirmed_at, event.now - event.age);
-  // Backdated, so that the next read is due after kReadPauseAfterChange: the next change may come at any time.
-  feed.last_read_at = event.now - kEndpointReadPeriod + kReadPauseAfterChange;
+  // Backdated, so that the next read is due after the pause: the next change may come at any time. Changes come in
+  // series, while heartbeats would end every read at once.
+  const milliseconds pause = new_changes.empty() ? kReadPauseAfterHeartbeats : kReadPauseAfterChange;
+  feed.last_read_at = event.now - kEndpointReadPeriod + pause;
   if (event.whole)
     feed.peer_differs_since = {};
   const bool complete = event.whole && !event.from_peer && !event.may_lag;
--- a/libs/core/tests/discovery_test.cc
+++ b/libs/core/tests/discovery_test.cc
@@ -1,6 +1,7 @@
 #include <doctest/doctest.h>
 
 #include <chrono>
+#include <functional>
 #include <string>
 
 #include "core/gossip_message.h"
@@ -458,5 +459,38 @@
   CHECK(sent_changes == changes.size());
 }
 
+/** Reads of the store in ten seconds by an instance whose reads are answered at once, with the next of `changes`. */
+int CountReads(const std::function<EndpointChange(uint64_t revision)>& next_change) {
+  Fixture fixture;
+  fixture.instance.Advance(Millis(3'100));
+  int reads = 0;
+  uint64_t revision = 11;
+  for (int step = 0; step < 1'000; ++step) {
+    fixture.instance.Advance(Millis(10));
+    const Effects& effects = fixture.instance.HandleEvent(Event::Tick{fixture.instance.Now()});
+    if (SingleInstance::EffectsOfType<Effect::ReadEndpoints>(effects).empty())
+      continue;
+    ++reads;
+    fixture.instance.ReceiveEndpoints({next_change(revision)}, false, revision);
+    ++revision;
+  }
+  return reads;
+}
+
+// Load pattern: hundreds of endpoints write heartbeats, so that a read which waits for a change ends at once. Guards
+// against calls to the store that grow with the number of endpoints.
+TEST_CASE("reads that bring heartbeats alone are made less often than those that bring changes") {
+  const auto heartbeat = [](uint64_t revision) {
+    EndpointChange change = SingleInstance::MakeChange("e", 10);
+    change.revision = revision;
+    return change;
+  };
+  const auto joining = [](uint64_t revision) {
+    return SingleInstance::MakeChange("e" + std::to_string(revision), revision);
+  };
+  CHECK(CountReads(heartbeat) <= 34);
+  CHECK(CountReads(joining) >= 60);
+}
+
 }  // namespace
 }  // namespace sassafras
