--- a/libs/entry/src/caller_session.cc
+++ b/libs/entry/src/caller_session.cc
@@ -204,6 +204,7 @@
   error_code error;
   if (parser.get()[http::field::expect] == "100-continue" && !parser.is_done()) {
     http::response<http::empty_body> continue_response(http::status::continue_, 11);
+    m_caller->stream.expires_after(kLocalResponseWriteTimeout);
     co_await http::async_write(m_caller->stream, continue_response, AwaitWithError(error));
   }
   constexpr size_t kReadBytes = 8u << 10u;
