--- a/libs/core/tests/ask_first_test.cc
+++ b/libs/core/tests/ask_first_test.cc
@@ -494,24 +494,5 @@
   CHECK(retries <= static_cast<size_t>(options.retry_slack) / (kPeers + 1));
 }
 
-// Guards against ejecting sound endpoints of a service that does not report its load.
-TEST_CASE("good health checks without a load report do not count as failures of their endpoints") {
-  SingleInstance instance;
-  AddEndpoints(instance, 2, 0);
-  constexpr int kMoreThanEject = 30;
-  for (int i = 0; i < kMoreThanEject; ++i) {
-    for (const SendProbe& probe : SingleInstance::EffectsOfType<SendProbe>(instance.ReceiveCall())) {
-      Event::ProbeEnded event;
-      event.now = instance.Now();
-      event.endpoint = probe.endpoint;
-      event.answered = true;
-      event.call = probe.call;
-      instance.HandleEvent(event);
-    }
-    instance.Advance(Millis(100));
-  }
-  CHECK(SingleInstance::EffectsOfType<SendProbe>(instance.ReceiveCall()).size() == 2);
-}
-
 }  // namespace
 }  // namespace sassafras
--- a/libs/entry/tests/outside_bytes_fuzz_test.cc
+++ b/libs/entry/tests/outside_bytes_fuzz_test.cc
@@ -1,15 +1,13 @@
 #include <doctest/doctest.h>
 
 #include <algorithm>
-#include <filesystem>
-#include <fstream>
-#include <iterator>
 #include <string>
 #include <vector>
 
 #include <rapidcheck.h>
 
 #include "answer_bytes_check.h"
+#include "fuzz_inputs_check.h"
 #include "request_bytes_check.h"
 
 namespace sassafras {
@@ -114,23 +112,9 @@
   });
 }
 
-/** Checks all files of a folder of bytes that once broke a promise, and of samples. */
-void CheckFiles(const std::string& folder, std::string (*check)(std::string_view)) {
-  const std::filesystem::path path = std::filesystem::path(FUZZ_INPUTS) / folder;
-  size_t count = 0;
-  for (const auto& entry : std::filesystem::directory_iterator(path)) {
-    CAPTURE(entry.path());
-    std::ifstream file(entry.path(), std::ios::binary);
-    const std::string bytes(std::istreambuf_iterator<char>(file), {});
-    CHECK(check(bytes) == "");
-    ++count;
-  }
-  CHECK(count > 0);
-}
-
 TEST_CASE("the kept inputs of the fuzz targets break no promise") {
-  CheckFiles("answers", CheckAnswerBytes);
-  CheckFiles("requests", CheckRequestBytes);
+  CheckFuzzInputs(FUZZ_INPUTS "/answers", CheckAnswerBytes);
+  CheckFuzzInputs(FUZZ_INPUTS "/requests", CheckRequestBytes);
 }
 
 // Guards against bytes of an endpoint that become a success which it did not send.
