--- a/libs/base/include/base/handle.h
+++ b/libs/base/include/base/handle.h
@@ -32,5 +32,6 @@
 using PlanHandle = Handle<struct PlanTag>;
 using ServiceHandle = Handle<struct ServiceTag>;
 using EndpointHandle = Handle<struct EndpointTag>;
+using AccountHandle = Handle<struct AccountTag>;
 
 }  // namespace sassafras
--- a/libs/core/include/core/event.h
+++ b/libs/core/include/core/event.h
@@ -105,6 +105,8 @@
     uint64_t ticket = 0;
     /** Plan that matches the request; invalid if none does. */
     PlanHandle plan;
+    /** Client account whose API key the request carries; invalid if it carries none or an unknown one. */
+    AccountHandle account;
     /** Time from then until the caller's deadline; the plan's deadline applies too. */
     Duration time_left = Duration::max();
     /** Hash of method, path and body. */
--- a/libs/core/include/core/gossip_message.h
+++ b/libs/core/include/core/gossip_message.h
@@ -12,6 +12,9 @@
 
 /** One gossip datagram between entry instances. Its size does not depend on the size of the fleet. */
 struct GossipMessage {
+  /** Greatest age that a message can state. */
+  static constexpr std::chrono::milliseconds kMaxAge{1'000'000'000};
+
   /** A fact that must reach every instance quickly. */
   struct Rumor {
     enum class Kind : uint8_t {
@@ -49,6 +52,31 @@
     uint32_t heartbeat = 0;
   };
 
+  /** Failure domains to which no requests may be sent, as of one revision of the store. */
+  struct Evacuations {
+    /** Revision of the store; see MakeStoreRevision(). 0 if nothing is known. */
+    uint64_t as_of = 0;
+    std::vector<std::string> failure_domains;
+  };
+  /** Request for tokens of one shard of an account's quota. */
+  struct QuotaRequest {
+    /** Chosen by the sender, repeated in the grant. */
+    uint64_t id = 0;
+    /** Hash of the account's name. */
+    uint64_t account = 0;
+    uint32_t shard = 0;
+    /** Tokens wanted for calls that wait. */
+    uint32_t wanted = 0;
+    /** Tokens used before without a grant, by retries and hedges. */
+    uint32_t owed = 0;
+  };
+  struct QuotaGrant {
+    uint64_t id = 0;
+    uint32_t granted = 0;
+    /** Time until the shard is expected to have a token; zero if it granted all that was wanted. */
+    std::chrono::milliseconds retry_after{};
+  };
+
   Member sender;
   uint64_t generation = 0;
   /** Time since any instance last confirmed that the store holds no higher generation. */
@@ -73,6 +101,11 @@
   /** A few other members, so that joins propagate. */
   std::vector<Member> members;
   std::vector<Heartbeat> heartbeats;
+  /** Upper bound of the time since a read of the store that found the sender's lists to be the latest ones began. */
+  std::chrono::milliseconds lists_confirmed_age = kMaxAge;
+  Evacuations evacuations;
+  std::vector<QuotaRequest> quota_requests;
+  std::vector<QuotaGrant> quota_grants;
 };
 
 }  // namespace sassafras
--- a/libs/core/include/core/outcome.h
+++ b/libs/core/include/core/outcome.h
@@ -49,10 +49,16 @@
   kAnswerNotKept,
   /** The answer of the endpoint was malformed. */
   kBadAnswer,
+  /** The plan needs an API key, and the request has none or one that no account holds. */
+  kUnauthorized,
+  /** The client account has used up its quota. */
+  kOverQuota,
+  /** The API key may have been revoked: the lists were not confirmed recently enough. */
+  kKeysNotConfirmed,
 };
 
 /** Size of tables indexed by Reason. */
-constexpr size_t kReasonCount = static_cast<size_t>(Reason::kBadAnswer) + 1;
+constexpr size_t kReasonCount = static_cast<size_t>(Reason::kKeysNotConfirmed) + 1;
 
 /** Description of a Reason, as reported to callers. */
 struct ReasonInfo {
--- a/libs/core/include/core/state.h
+++ b/libs/core/include/core/state.h
@@ -57,6 +57,12 @@
   PlanHandle FindPlan(std::string_view host, std::string_view method, std::string_view path) const;
   /** Configuration of the plan; valid until the next Event::ListsReceived. */
   const Plan& PlanConfig(PlanHandle plan) const;
+  /** Whether there are client accounts, so that calls of plans that are not public need an API key. */
+  bool HasAccounts() const;
+  /** Finds the account that holds the API key; invalid if none does. */
+  AccountHandle FindAccount(std::string_view key) const;
+  /** Name of the account; valid until the next Event::ListsReceived. */
+  std::string_view AccountName(AccountHandle account) const;
   /** Configuration of the endpoint; valid until the next call of Reduce(). */
   const Endpoint& EndpointConfig(EndpointHandle endpoint) const;
   /** Path of the probe requests to the endpoint. */
--- a/libs/core/include/core/state_options.h
+++ b/libs/core/include/core/state_options.h
@@ -50,6 +50,13 @@
   bool hedging = true;
   /** Whether calls wait in this instance while all endpoints seem full; otherwise they are sent at once. */
   bool late_binding = true;
+  /**
+   * Time after which a removed API key must have no effect on any instance; zero for no bound. Calls with keys run only
+   * while the lists were confirmed within a fraction of it.
+   */
+  std::chrono::milliseconds key_revocation_limit{};
+  /** Hedges per call that a service may make, unless its plan or service sets another limit; 0 turns hedging off. */
+  double hedge_limit = 0.1;
 };
 
 }  // namespace sassafras
--- a/libs/core/src/call_state.h
+++ b/libs/core/src/call_state.h
@@ -32,6 +32,10 @@
   /** Whether an attempt ended that may have run the request. */
   bool may_have_run = false;
   PlanHandle plan;
+  /** Client account of the call; invalid if its plan needs no API key or there are no accounts. */
+  AccountHandle account;
+  /** Priority of the account or else of the plan; lower values are more urgent. */
+  uint8_t priority = 0;
   /** The service chosen for the call among those of its plan. */
   ServiceHandle service;
   uint64_t ticket = 0;
--- a/libs/core/src/calls.cc
+++ b/libs/core/src/calls.cc
@@ -45,10 +45,31 @@
   Reject(parts, event, reason, effects);
 }
 
+/** Priority of a call: that of its account, if it has one, else that of its plan. */
+uint8_t PriorityOf(StateParts& parts, const Event::CallArrived& event) {
+  if (parts.accounts.IsActive(event.account) && parts.At(event.account).config.has_priority)
+    return parts.At(event.account).config.priority;
+  return parts.At(event.plan).config.priority;
+}
+
+/** Whether the call must carry an API key of an account, and does not. */
+bool LacksKey(StateParts& parts, const Event::CallArrived& event) {
+  const bool needs_key = !parts.accounts.Empty() && !parts.At(event.plan).config.is_public;
+  return needs_key && !parts.accounts.IsActive(event.account);
+}
+
+/** Rejects a call without a known API key; with 401 only if no account can hold the key. */
+void RejectUnauthorized(StateParts& parts, const Event::CallArrived& event, Effects& effects) {
+  const bool known = parts.lists.AreCurrent(event.now) && !parts.lists.lack_accounts;
+  RejectCounted(parts, event, known ? Reason::kUnauthorized : Reason::kListsNotCurrent, effects);
+}
+
 CallHandle Accept(StateParts& parts, const Event::CallArrived& event, Effects& effects) {
   const CallHandle handle = parts.calls.Add();
   CallState& call = *parts.calls.Find(handle);
   call.plan = event.plan;
+  call.account = event.account;
+  call.priority = PriorityOf(parts, event);
   call.ticket = event.ticket;
   call.fingerprint = event.fingerprint;
   call.replayable = event.replayable;
@@ -172,6 +193,10 @@
     return;
   }
   PlanState& plan = parts.At(event.plan);
+  if (LacksKey(parts, event)) {
+    RejectUnauthorized(parts, event, effects);
+    return;
+  }
   if (parts.quarantine.IsQuarantined(event.fingerprint, event.now)) {
     RejectCounted(parts, event, Reason::kQuarantined, effects);
     return;
--- a/libs/core/src/control.cc
+++ b/libs/core/src/control.cc
@@ -189,6 +189,7 @@
     return;
   parts.lists.generation = event.generation;
   parts.lists.lack_plans = event.lists->has_unreadable_plans;
+  parts.lists.lack_accounts = event.lists->has_unreadable_accounts;
   ApplyLists(parts, *event.lists, event.now);
   if (!parts.options.discovery || parts.feed.as_of > 0)
     StartServing(parts);
--- a/libs/core/src/dispatch.cc
+++ b/libs/core/src/dispatch.cc
@@ -145,7 +145,7 @@
   ServiceState& service = parts.ServiceOf(call);
   WaitQueue& queue = service.QueueFor(plan.config.work);
   if (queue.Size() >= parts.options.queue_limit) {
-    const auto evicted = queue.EvictLessUrgent(plan.config.priority);
+    const auto evicted = queue.EvictLessUrgent(call.priority);
     if (!evicted.has_value()) {
       EndRejected(parts, handle, Reason::kOverloaded, now, effects);
       return;
@@ -155,7 +155,7 @@
   }
   call.stage = Stage::kWaiting;
   plan.virtual_finish = std::max(plan.virtual_finish, service.virtual_time) + 1.0 / plan.config.share;
-  queue.Push({plan.config.priority, plan.virtual_finish, call.deadline, handle});
+  queue.Push({call.priority, plan.virtual_finish, call.deadline, handle});
 }
 
 void DispatchWaiting(StateParts& parts, ServiceState& service, TimePoint now, Effects& effects) {
--- a/libs/core/src/held_calls.cc
+++ b/libs/core/src/held_calls.cc
@@ -83,7 +83,7 @@
     if (estimate > MaxAcceptableLatency(parts, *call, now))
       continue;
     const CallState* other = parts.calls.Find(chosen);
-    if (other == nullptr || parts.At(call->plan).config.priority < parts.At(other->plan).config.priority)
+    if (other == nullptr || call->priority < other->priority)
       chosen = handle;
   }
   if (CallState* call = parts.calls.Find(chosen)) {
--- a/libs/core/src/lists_apply.cc
+++ b/libs/core/src/lists_apply.cc
@@ -241,6 +241,7 @@
 
 void ApplyLists(StateParts& parts, const Lists& lists, TimePoint now) {
   parts.limits = lists.limits;
+  parts.accounts.Apply(lists.accounts);
   ApplyServices(parts, lists);
   UpdateBudgets(parts);
   for (PlanState& plan : parts.plans)
--- a/libs/core/src/lists_tracker.h
+++ b/libs/core/src/lists_tracker.h
@@ -21,6 +21,8 @@
   uint64_t generation = 0;
   /** Whether the lists lack a plan that could not be decoded. */
   bool lack_plans = false;
+  /** Whether the lists lack an account, or an API key of one, that could not be decoded. */
+  bool lack_accounts = false;
   /** Highest generation that a peer has announced, and when a peer last announced it. */
   uint64_t announced_generation = 0;
   TimePoint announced_at{};
--- a/libs/core/src/outcome.cc
+++ b/libs/core/src/outcome.cc
@@ -35,6 +35,10 @@
     {"answer_not_kept", Outcome::kUnknown, 409,
      "an earlier send ran, its answer was too large to keep; ask the service"},
     {"bad_answer", Outcome::kUnknown, 502, "the endpoint ran it and answered malformed; check before sending again"},
+    {"unauthorized", Outcome::kNotRun, 401, "send the API key of an account as Authorization: Bearer KEY"},
+    {"over_quota", Outcome::kNotRun, 429, "the account has used up its quota; send again after Retry-After"},
+    {"keys_not_confirmed", Outcome::kNotRun, 503,
+     "this instance cannot confirm API keys at present; use another address, or send again after Retry-After"},
 }};
 
 }  // namespace
--- a/libs/core/src/state.cc
+++ b/libs/core/src/state.cc
@@ -78,6 +78,18 @@
   return m_parts->plan_index.Find(host, method, path);
 }
 
+bool State::HasAccounts() const {
+  return !m_parts->accounts.Empty();
+}
+
+AccountHandle State::FindAccount(std::string_view key) const {
+  return m_parts->accounts.FindByKey(key);
+}
+
+std::string_view State::AccountName(AccountHandle account) const {
+  return m_parts->accounts[account].config.name;
+}
+
 const Plan& State::PlanConfig(PlanHandle plan) const {
   return m_parts->At(plan).config;
 }
--- a/libs/core/src/state_parts.h
+++ b/libs/core/src/state_parts.h
@@ -5,6 +5,7 @@
 
 #include <absl/container/flat_hash_map.h>
 
+#include "account_table.h"
 #include "call_table.h"
 #include "core/log_record.h"
 #include "core/state.h"
@@ -37,6 +38,7 @@
   const std::vector<EndpointHandle>& CandidatesOf(const CallState& call) const;
   PlanState& At(PlanHandle handle) { return plans[handle.Index()]; }
   ServiceState& At(ServiceHandle handle) { return services[handle.Index()]; }
+  AccountState& At(AccountHandle handle) { return accounts[handle]; }
   EndpointState& At(EndpointHandle handle) { return endpoints[handle]; }
   /** Epoch of the idempotency tokens that this instance issues at `now`. */
   uint32_t EpochAt(TimePoint now) const;
@@ -50,6 +52,7 @@
   TimePoint close_at{};
 
   CallerLimits limits;
+  AccountTable accounts;
   std::vector<PlanState> plans;
   PlanIndex plan_index;
   std::vector<ServiceState> services;
--- a/libs/entry/src/entry_instance.cc
+++ b/libs/entry/src/entry_instance.cc
@@ -69,6 +69,8 @@
   options.retry_ratio = settings.retry_ratio;
   options.retry_slack = settings.retry_slack;
   options.ask_first = settings.ask_first;
+  options.key_revocation_limit = duration_cast<milliseconds>(settings.key_revocation_limit);
+  options.hedge_limit = settings.hedge_limit / 100;
   options.gossip_period = duration_cast<milliseconds>(settings.gossip_period);
   options.discovery = settings.store == StoreKind::kPlatform;
   return options;
--- a/libs/lists/include/lists/lists.h
+++ b/libs/lists/include/lists/lists.h
@@ -6,6 +6,7 @@
 
 #include <absl/status/statusor.h>
 
+#include "lists/account.h"
 #include "lists/caller_limits.h"
 #include "lists/endpoint.h"
 #include "lists/plan.h"
@@ -18,9 +19,13 @@
   std::vector<Plan> plans;
   std::vector<Service> services;
   std::vector<Endpoint> endpoints;
+  /** Client accounts; if there are none, requests need no API key. */
+  std::vector<Account> accounts;
   CallerLimits limits;
   /** Whether a plan could not be decoded and is missing, so that a request without a plan may be one of its. */
   bool has_unreadable_plans = false;
+  /** Whether a client account could not be decoded whole, so that an unknown API key may be one of its. */
+  bool has_unreadable_accounts = false;
 };
 
 /**
--- a/libs/lists/include/lists/plan.h
+++ b/libs/lists/include/lists/plan.h
@@ -46,6 +46,8 @@
   uint32_t max_attempts = 4;
   /** Names of the endpoints that the plan may use; empty for all endpoints of the service. */
   std::vector<std::string> endpoints;
+  /** Whether requests need no API key although there are client accounts. */
+  bool is_public = false;
 };
 
 }  // namespace sassafras
--- a/libs/lists/include/lists/service.h
+++ b/libs/lists/include/lists/service.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chrono>
 #include <cstdint>
 #include <string>
 
@@ -16,6 +17,10 @@
   uint32_t connections = 0;
   /** Largest share of an endpoint's slots that Work::kLong requests may take, in percent. */
   double long_share = 50.0;
+  /** Requests per second that one endpoint tolerates from all entry instances while it warms up; 0 for no limit. */
+  double warmup_rate = 0.0;
+  /** Time that an endpoint takes to warm up after its start. */
+  std::chrono::milliseconds warmup_duration{};
 };
 
 }  // namespace sassafras
--- a/libs/peers/src/gossip_codec.cc
+++ b/libs/peers/src/gossip_codec.cc
@@ -101,6 +101,14 @@
   out.setWarmupMillis(static_cast<uint32_t>(change.warmup.count()));
 }
 
+GossipMessage::Evacuations ReadEvacuations(wire::Evacuations::Reader in) {
+  GossipMessage::Evacuations evacuations;
+  evacuations.as_of = in.getAsOf();
+  for (const capnp::Text::Reader domain : in.getFailureDomains())
+    evacuations.failure_domains.push_back(ReadText(domain));
+  return evacuations;
+}
+
 GossipMessage ReadGossip(wire::Gossip::Reader in) {
   GossipMessage message;
   message.sender = ReadMember(in.getSender());
@@ -108,14 +116,17 @@
   message.ask = in.getAsk();
   message.reply_to = in.getReplyTo();
   message.relay = in.getRelay();
-  constexpr uint64_t kMaxAgeMillis = 1'000'000'000;
+  constexpr uint64_t kMaxAgeMillis = GossipMessage::kMaxAge.count();
   message.store_age = milliseconds(std::min<uint64_t>(in.getStoreAgeMillis(), kMaxAgeMillis));
   message.endpoints_digest = in.getEndpointsDigest();
   message.endpoints_as_of = in.getEndpointsAsOf();
   message.leaving_digest = in.getLeavingDigest();
   message.endpoints_age = milliseconds(std::min<uint64_t>(in.getEndpointsAgeMillis(), kMaxAgeMillis));
+  message.lists_confirmed_age =
+      GossipMessage::kMaxAge - milliseconds(std::min<uint64_t>(in.getListsConfirmedRecency(), kMaxAgeMillis));
   const size_t items = in.getEndpointChanges().size() + in.getRumors().size() + in.getLoads().size() +
-                       in.getMembers().size() + in.getHeartbeats().size();
+                       in.getMembers().size() + in.getHeartbeats().size() + in.getQuotaRequests().size() +
+                       in.getQuotaGrants().size() + in.getEvacuations().getFailureDomains().size();
   KJ_REQUIRE(items <= kMaxItemsPerMessage, "too many items");
   for (const wire::Rumor::Reader rumor : in.getRumors())
     message.rumors.push_back(ReadRumor(rumor));
@@ -127,9 +138,42 @@
     message.members.push_back(ReadMember(member));
   for (const wire::Heartbeat::Reader heartbeat : in.getHeartbeats())
     message.heartbeats.push_back({heartbeat.getId(), heartbeat.getHeartbeat()});
+  message.evacuations = ReadEvacuations(in.getEvacuations());
+  for (const wire::QuotaRequest::Reader request : in.getQuotaRequests())
+    message.quota_requests.push_back(
+        {request.getId(), request.getAccount(), request.getShard(), request.getWanted(), request.getOwed()});
+  for (const wire::QuotaGrant::Reader grant : in.getQuotaGrants()) {
+    const milliseconds retry_after = std::min(milliseconds(grant.getRetryAfterMillis()), kMaxLifetime);
+    message.quota_grants.push_back({grant.getId(), grant.getGranted(), retry_after});
+  }
   return message;
 }
 
+void WriteEvacuations(const GossipMessage::Evacuations& evacuations, wire::Evacuations::Builder out) {
+  out.setAsOf(evacuations.as_of);
+  auto domains = out.initFailureDomains(static_cast<uint32_t>(evacuations.failure_domains.size()));
+  for (uint32_t i = 0; i < domains.size(); ++i)
+    domains.set(i, evacuations.failure_domains[i]);
+}
+
+void WriteQuota(const GossipMessage& message, wire::Gossip::Builder out) {
+  auto requests = out.initQuotaRequests(static_cast<uint32_t>(message.quota_requests.size()));
+  for (uint32_t i = 0; i < requests.size(); ++i) {
+    const GossipMessage::QuotaRequest& request = message.quota_requests[i];
+    requests[i].setId(request.id);
+    requests[i].setAccount(request.account);
+    requests[i].setShard(request.shard);
+    requests[i].setWanted(request.wanted);
+    requests[i].setOwed(request.owed);
+  }
+  auto grants = out.initQuotaGrants(static_cast<uint32_t>(message.quota_grants.size()));
+  for (uint32_t i = 0; i < grants.size(); ++i) {
+    grants[i].setId(message.quota_grants[i].id);
+    grants[i].setGranted(message.quota_grants[i].granted);
+    grants[i].setRetryAfterMillis(static_cast<uint32_t>(message.quota_grants[i].retry_after.count()));
+  }
+}
+
 }  // namespace
 
 std::string EncodeGossip(const GossipMessage& message) {
@@ -170,6 +214,12 @@
     heartbeats[i].setId(message.heartbeats[i].id);
     heartbeats[i].setHeartbeat(message.heartbeats[i].heartbeat);
   }
+  const milliseconds recency = GossipMessage::kMaxAge - std::max(milliseconds(0), message.lists_confirmed_age);
+  gossip.setListsConfirmedRecency(static_cast<uint64_t>(std::max<int64_t>(0, recency.count())));
+  if (message.evacuations.as_of != 0)
+    WriteEvacuations(message.evacuations, gossip.initEvacuations());
+  if (!message.quota_requests.empty() || !message.quota_grants.empty())
+    WriteQuota(message, gossip);
   kj::VectorOutputStream output;
   capnp::writePackedMessage(output, builder);
   const auto bytes = output.getArray();
--- a/libs/peers/src/peer.capnp
+++ b/libs/peers/src/peer.capnp
@@ -59,6 +59,25 @@
   warmupMillis @8 :UInt32;
 }
 
+struct Evacuations {
+  asOf @0 :UInt64;
+  failureDomains @1 :List(Text);
+}
+
+struct QuotaRequest {
+  id @0 :UInt64;
+  account @1 :UInt64;
+  shard @2 :UInt32;
+  wanted @3 :UInt32;
+  owed @4 :UInt32;
+}
+
+struct QuotaGrant {
+  id @0 :UInt64;
+  granted @1 :UInt32;
+  retryAfterMillis @2 :UInt32;
+}
+
 struct Gossip {
   sender @0 :Member;
   generation @1 :UInt64;
@@ -75,6 +94,11 @@
   endpointChanges @12 :List(EndpointChange);
   leavingDigest @13 :UInt64;
   relay @14 :Bool;
+  # Stated as the greatest age minus the age, so that a message without it states the greatest age.
+  listsConfirmedRecency @15 :UInt64;
+  evacuations @16 :Evacuations;
+  quotaRequests @17 :List(QuotaRequest);
+  quotaGrants @18 :List(QuotaGrant);
 }
 
 struct TextDelta {
--- a/libs/settings/include/settings/settings.h
+++ b/libs/settings/include/settings/settings.h
@@ -69,6 +69,10 @@
   bool hedging = true;
   /** Whether requests wait in this instance while all endpoints appear full. */
   bool late_binding = true;
+  /** Time after which a removed API key must have no effect on any instance; 0 for no bound. */
+  std::chrono::microseconds key_revocation_limit{};
+  /** Hedges per 100 calls that a service may make; 0 turns hedging off. */
+  double hedge_limit = 0;
 };
 
 /** Parses and checks the text of a settings file; errors name `file_name`, the line and the remedy. */
--- a/libs/settings/src/settings.cc
+++ b/libs/settings/src/settings.cc
@@ -20,6 +20,7 @@
 constexpr microseconds kDefaultGossipPeriod = 250ms;
 constexpr double kDefaultRetryRatio = 0.2;
 constexpr double kDefaultRetrySlack = 480;
+constexpr double kDefaultHedgeLimit = 10;
 constexpr int64_t kDefaultQueueLimit = 512;
 constexpr int64_t kDefaultCallerConnections = 4'096;
 constexpr int64_t kDefaultFleetLimit = 24;
@@ -59,6 +60,8 @@
   settings.probing = reader.ChoiceOr("probing", {"on", "off"}, 0) == 0;
   settings.hedging = reader.ChoiceOr("hedging", {"on", "off"}, 0) == 0;
   settings.late_binding = reader.ChoiceOr("late_binding", {"on", "off"}, 0) == 0;
+  settings.key_revocation_limit = reader.DurationOr("key_revocation_limit", 0s, 60min, 0s);
+  settings.hedge_limit = reader.NumberOr("hedge_limit", 0, 100, kDefaultHedgeLimit);
   if (absl::Status status = reader.Finish(); !status.ok())
     return status;
   if (settings.store == StoreKind::kPlatform && settings.platform.size() != 1) {
