Quotas: token buckets of shards at owners, tokens in stock at the instances of the calls

An account must not run more than its rate and burst over all instances, and must not be rejected below them whichever instances its callers use. Each shard of its quota has one owner in memory, found by rendezvous hash; other instances ask it by datagram, with a second member and a local share for when it does not reply. Calls wait in a stage of their own.

--- a/bench/core_bench.cc
+++ b/bench/core_bench.cc
@@ -11,6 +11,7 @@
 #include "core/selection_rule.h"
 #include "core/state.h"
 #include "core/state_options.h"
+#include "core/gossip_message.h"
 #include "lists/lists.h"
 #include "lists/lists_document.h"
 #include "peers/gossip_codec.h"
@@ -65,9 +66,22 @@
 /** One instance on a virtual clock, with lists of a given size and a given number of known peers. */
 class BenchInstance {
  public:
-  BenchInstance(size_t endpoints, size_t members, SelectionRule rule = SelectionRule::kHotCold)
-      : m_now(std::chrono::hours(1)), m_services(ServiceCountFor(endpoints)), m_state(MakeOptions(rule)) {
-    auto lists = std::make_shared<const Lists>(MakeSampleLists(endpoints, m_services));
+  /** @param accounts  number of client accounts with a limit, which the calls use in turn */
+  BenchInstance(size_t endpoints, size_t members, SelectionRule rule = SelectionRule::kHotCold, size_t accounts = 0)
+      : m_now(std::chrono::hours(1)),
+        m_services(ServiceCountFor(endpoints)),
+        m_accounts(accounts),
+        m_state(MakeOptions(rule)) {
+    Lists sample = MakeSampleLists(endpoints, m_services);
+    for (size_t i = 0; i < accounts; ++i) {
+      Account account;
+      account.name = fmt::format("account-{}", i);
+      account.keys = {fmt::format("key-{}", i)};
+      account.rate_per_second = 100;
+      account.burst = 100;
+      sample.accounts.push_back(account);
+    }
+    auto lists = std::make_shared<const Lists>(std::move(sample));
     HandleEvent(Event::Tick{m_now});
     HandleEvent(Event::ListsReceived{m_now, 1, std::move(lists)});
     for (size_t i = 0; i < members; ++i)
@@ -105,13 +119,14 @@
     arrived.ticket = ++m_ticket;
     arrived.plan = PlanHandle(static_cast<uint32_t>(2 * (m_ticket % m_services)));
     arrived.fingerprint = m_ticket;
+    if (m_accounts > 0)
+      arrived.account = AccountHandle(static_cast<uint32_t>(m_ticket % m_accounts));
     Event::AttemptEnded ended;
-    for (const Effect::Any& effect : HandleEvent(arrived)) {
-      if (const auto* dispatch = std::get_if<Effect::Dispatch>(&effect)) {
-        ended.call = dispatch->call;
-        ended.endpoint = dispatch->endpoint;
-      }
-    }
+    // A call of an account with a limit may first have to wait for tokens.
+    Event::GossipReceived grant;
+    FindDispatch(HandleEvent(arrived), ended, grant);
+    if (!grant.message.quota_grants.empty())
+      FindDispatch(HandleEvent(grant), ended, grant);
     if (!ended.endpoint.IsValid())
       std::abort();
     m_now += microseconds(20);
@@ -125,7 +140,26 @@
   TimePoint m_now;
 
  private:
+  /** Finds the dispatch of a call, or the request of tokens for it, and makes the grant of more than are needed. */
+  void FindDispatch(const Effects& effects, Event::AttemptEnded& ended, Event::GossipReceived& grant) const {
+    for (const Effect::Any& effect : effects) {
+      if (const auto* dispatch = std::get_if<Effect::Dispatch>(&effect)) {
+        ended.call = dispatch->call;
+        ended.endpoint = dispatch->endpoint;
+      }
+      const auto* gossip = std::get_if<Effect::SendGossip>(&effect);
+      if (gossip == nullptr || gossip->message->quota_requests.empty())
+        continue;
+      grant.now = m_now;
+      grant.message.sender.name = "peer-0";
+      grant.message.sender.incarnation = 1;
+      grant.message.generation = 1;
+      grant.message.quota_grants = {{gossip->message->quota_requests[0].id, 1'000'000, {}}};
+    }
+  }
+
   size_t m_services;
+  size_t m_accounts;
   State m_state;
   Effects m_effects;
   uint64_t m_ticket = 0;
@@ -145,6 +179,31 @@
 }
 BENCHMARK(CallDecision)->Arg(20)->Arg(200)->Arg(3'200);
 
+/** Like CallDecision, for calls of accounts with a limit that find a token in stock; the argument is their number. */
+void LimitedCallDecision(benchmark::State& state) {
+  BenchInstance instance(200, 17, SelectionRule::kHotCold, static_cast<size_t>(state.range(0)));
+  for (int i = 0; i < 50'000; ++i)
+    instance.RunCall();
+  const size_t allocations_before = g_allocation_count;
+  for (auto _ : state)
+    instance.RunCall();
+  state.counters["allocations_per_call"] = benchmark::Counter(
+      static_cast<double>(g_allocation_count - allocations_before), benchmark::Counter::kAvgIterations);
+  state.counters["table_bytes"] = static_cast<double>(instance.GetState().TableBytes());
+}
+BENCHMARK(LimitedCallDecision)->Arg(1)->Arg(88);
+
+/** State of 5,000 accounts of which all were just used; one iteration is one call. */
+void AccountState5000(benchmark::State& state) {
+  BenchInstance without(200, 17);
+  BenchInstance instance(200, 17, SelectionRule::kHotCold, 5'000);
+  for (auto _ : state)
+    instance.RunCall();
+  state.counters["bytes_per_account"] =
+      static_cast<double>(instance.GetState().TableBytes() - without.GetState().TableBytes()) / 5'000;
+}
+BENCHMARK(AccountState5000)->Iterations(50'000);
+
 void CallDecisionByRule(benchmark::State& state) {
   BenchInstance instance(20, 17, static_cast<SelectionRule>(state.range(0)));
   for (auto _ : state)
--- a/libs/core/include/core/log_record.h
+++ b/libs/core/include/core/log_record.h
@@ -22,6 +22,9 @@
     kRequestQuarantined,
     kWatching,
     kNotWatching,
+    /** Calls of a client account are rejected because of its quota, or no longer are. */
+    kAccountOverQuota,
+    kAccountWithinQuota,
   };
   Kind kind = Kind::kEndpointServing;
   /** Name of an endpoint, of the first of several members or of this instance, or the fingerprint of a request. */
--- a/libs/core/include/core/state.h
+++ b/libs/core/include/core/state.h
@@ -18,6 +18,7 @@
 struct StateParts;
 struct Plan;
 struct PlanCounters;
+struct QuotaCounters;
 struct StateOptions;
 
 /** Lifecycle of an instance. */
@@ -98,6 +99,9 @@
   /** Number of probe seats held at `now`. */
   size_t SeatsHeld(TimePoint now) const;
   uint64_t ProbesSent() const;
+  const QuotaCounters& Quotas() const;
+  /** Quota shards of which this instance holds a bucket. */
+  size_t QuotaShardsHeld() const;
   size_t RecordCount() const;
   size_t QuarantineCount() const;
   /** Approximate size in bytes of the main tables, for capacity planning. */
--- a/libs/core/src/account_table.h
+++ b/libs/core/src/account_table.h
@@ -31,6 +31,8 @@
   /** Number of handles, including those of removed accounts. */
   size_t Size() const { return m_accounts.size(); }
   bool IsActive(AccountHandle account) const { return account.IsValid() && m_accounts[account.Index()].active; }
+  /** Weight of the account in comparison with others: its rate, relative to the mean of those with a limit. */
+  double WeightOf(AccountHandle account) const;
   AccountState& operator[](AccountHandle account) { return m_accounts[account.Index()]; }
   const AccountState& operator[](AccountHandle account) const { return m_accounts[account.Index()]; }
 
@@ -45,6 +47,8 @@
   absl::flat_hash_map<std::string, AccountHandle, KeyHash, std::equal_to<>> m_by_key;
   absl::flat_hash_map<uint64_t, AccountHandle> m_by_name;
   size_t m_active_count = 0;
+  /** Mean rate of the accounts with a limit. */
+  double m_mean_rate = 1;
 };
 
 }  // namespace sassafras
--- a/libs/core/src/attempts.cc
+++ b/libs/core/src/attempts.cc
@@ -8,6 +8,7 @@
 #include "endpoint_learning.h"
 #include "held_calls.h"
 #include "load_probing.h"
+#include "quota.h"
 #include "selection.h"
 #include "state_parts.h"
 
@@ -238,6 +239,8 @@
       --call->attempts_outstanding;
     if (!IsKnownNotRun(event.result))
       call->may_have_run = true;
+    else if (event.result != AttemptResult::kRefused)
+      UndoSpendQuota(parts, *call);
     if (event.result == AttemptResult::kAnswered)
       EndAnswered(parts, event.call, event.failure_status, event.answer, event.now, effects);
     else if (call->attempts_outstanding == 0)
--- a/libs/core/src/call_end.cc
+++ b/libs/core/src/call_end.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "probe_results.h"
+#include "quota.h"
 #include "state_parts.h"
 
 namespace sassafras {
@@ -121,6 +122,8 @@
 
 /** Returns the retry delay of a rejected call: exact if all endpoints hold off requests, otherwise random. */
 std::chrono::milliseconds RetryAfter(StateParts& parts, const CallState& call, Reason reason, TimePoint now) {
+  if (reason == Reason::kOverQuota)
+    return RecordOverQuota(parts, call.account, now);
   const auto random = RandomRetryAfter(parts, reason, call.caller_deadline - now);
   const bool not_run = InfoOf(reason).outcome == Outcome::kNotRun;
   const auto held_off = not_run ? HoldOffLeft(parts, call, now) : std::chrono::milliseconds::zero();
@@ -156,6 +159,7 @@
     reason = Reason::kConnectionBroken;
   const bool not_run = InfoOf(reason).outcome == Outcome::kNotRun;
   CountOutcome(parts, call, not_run ? &PlanCounters::not_run : &PlanCounters::unknown, now);
+  ReturnQuota(parts, call, now);
   parts.rejected_calls.Record(call.fingerprint, call.arrived_at, call.caller_deadline, call.spent_before);
   const auto retry_after = RetryAfter(parts, call, reason, now);
   effects.push_back(Effect::Reject{call.ticket, reason, {}, retry_after, RejectionBasis(call)});
@@ -166,6 +170,7 @@
 void EndCancelled(StateParts& parts, CallHandle handle, bool may_have_run, TimePoint now, Effects& effects) {
   const CallState call = *parts.calls.Find(handle);
   CountOutcome(parts, call, &PlanCounters::cancelled, now);
+  ReturnQuota(parts, call, now);
   parts.calls.Remove(handle);
   // Only calls that wait for the record get this reason; kDeadlineBeforeStart says that the request did not run.
   SettleRecord(parts, call.record, may_have_run ? Reason::kEarlierRunUnknown : Reason::kDeadlineBeforeStart, now,
--- a/libs/core/src/call_state.h
+++ b/libs/core/src/call_state.h
@@ -11,7 +11,7 @@
 
 /** State of an accepted call. */
 struct CallState {
-  enum class Stage : uint8_t { kFree, kWaiting, kProbing, kRunning, kWaitingForRecord };
+  enum class Stage : uint8_t { kFree, kWaiting, kAwaitingQuota, kProbing, kRunning, kWaitingForRecord };
   /** Maximum number of attempts of a call. */
   static constexpr size_t kMaxAttempts = 4;
   /** Maximum number of endpoints probed for their load before an attempt. */
@@ -29,6 +29,8 @@
   bool probing_for_hedge = false;
   bool replayable = true;
   bool hedged = false;
+  /** Whether the call holds a token of its account's quota that it has not used; valid until `quota_token_until`. */
+  bool has_quota_token = false;
   /** Whether an attempt ended that may have run the request. */
   bool may_have_run = false;
   PlanHandle plan;
@@ -40,6 +42,7 @@
   ServiceHandle service;
   uint64_t ticket = 0;
   uint64_t fingerprint = 0;
+  TimePoint quota_token_until{};
   TimePoint arrived_at;
   TimePoint deadline;
   /** Time until which the caller waits; `deadline` may be earlier because of the plan's limit. */
@@ -57,6 +60,8 @@
   std::array<EndpointHandle, kMaxProbed> probed;
   std::array<float, kMaxProbed> estimates_us{};
   std::array<float, kMaxProbed> probed_utilizations{};
+  /** Whether the call was held for lack of room. */
+  bool was_held = false;
   /** Whether the call waits to probe once more. */
   bool reprobe_pending = false;
   TimePoint probes_sent_at{};
--- a/libs/core/src/calls.cc
+++ b/libs/core/src/calls.cc
@@ -6,6 +6,7 @@
 
 #include "call_end.h"
 #include "dispatch.h"
+#include "quota.h"
 #include "state_parts.h"
 
 namespace sassafras {
@@ -216,7 +217,16 @@
   const CallHandle handle = Accept(parts, event, effects);
   parts.calls.Find(handle)->record = record;
   parts.calls.Find(handle)->service = branch.service;
-  DispatchOrEnqueue(parts, handle, event.now, effects);
+  if (AcquireQuota(parts, handle, event.now, effects))
+    ContinueAdmitted(parts, handle, event.now, effects);
+}
+
+void ContinueAdmitted(StateParts& parts, CallHandle handle, TimePoint now, Effects& effects) {
+  // A retry does not wait behind new calls.
+  if (parts.calls.Find(handle)->attempts > 0)
+    DispatchQueueOrReject(parts, handle, Reason::kNoEndpoint, now, effects);
+  else
+    DispatchOrEnqueue(parts, handle, now, effects);
 }
 
 void OnCallerGone(StateParts& parts, const Event::CallerGone& event, Effects& effects) {
--- a/libs/core/src/control.cc
+++ b/libs/core/src/control.cc
@@ -11,6 +11,7 @@
 #include "lists/lists.h"
 #include "lists_apply.h"
 #include "load_probing.h"
+#include "quota.h"
 #include "roster.h"
 #include "state_parts.h"
 #include "watchers.h"
@@ -155,6 +156,7 @@
     UpdateBudgets(parts);
   }
   parts.quarantine.Expire(now);
+  ExpireQuotas(parts, now);
   parts.rumors.Expire(now);
   parts.records.Expire(parts.EpochAt(now));
   parts.endpoints.ReclaimInactive(now);
@@ -293,6 +295,7 @@
     parts.next_probe_check = now + kProbeCheckPeriod;
     SendDueProbes(parts, now, effects);
   }
+  UpdateQuotas(parts, now, effects);
   UpdateDiscovery(parts, now, effects);
   CheckWatchers(parts, now, effects);
   if (now >= parts.next_maintenance)
@@ -303,8 +306,8 @@
 TimePoint NextTickTime(const StateParts& parts, TimePoint now) {
   if (parts.gossip_pending || CountWaiting(parts) > 0)
     return now + kBusyTickPeriod;
-  TimePoint next =
-      std::min({parts.next_gossip, parts.next_maintenance, NextDiscoveryTime(parts), NextWatcherCheckTime(parts)});
+  TimePoint next = std::min({parts.next_gossip, parts.next_maintenance, NextDiscoveryTime(parts),
+                             NextWatcherCheckTime(parts), NextQuotaTime(parts)});
   if (parts.probes.HoldsAny(now))
     next = std::min(next, parts.next_probe_check);
   if (parts.phase == Phase::kLeaving)
--- a/libs/core/src/dispatch.cc
+++ b/libs/core/src/dispatch.cc
@@ -4,10 +4,12 @@
 #include <array>
 #include <chrono>
 #include <cmath>
+#include <utility>
 
 #include "call_end.h"
 #include "load_probing.h"
 #include "probe_results.h"
+#include "quota.h"
 #include "selection.h"
 #include "state_parts.h"
 
@@ -96,6 +98,11 @@
   ++call.attempts;
   ++call.attempts_outstanding;
   call.stage = Stage::kRunning;
+  ServiceState& service = parts.ServiceOf(call);
+  if (!parts.accounts.Empty() && !service.held_calls.empty())
+    service.fairness.RecordSlot(call.account, parts.accounts.WeightOf(call.account),
+                                std::exchange(call.was_held, false), now);
+  SpendQuota(parts, call, now);
   TimePoint hedge_at = TimePoint::max();
   if (MayHedge(parts, call, plan)) {
     const auto p95 = std::chrono::microseconds(static_cast<int64_t>(plan.p95_us));
@@ -108,7 +115,7 @@
 
 bool Hedge(StateParts& parts, CallHandle handle, EndpointHandle endpoint, TimePoint now, Effects& effects) {
   CallState& call = *parts.calls.Find(handle);
-  if (!parts.ServiceOf(call).hedge_budget.Spend(1.0))
+  if (!QuotaAllowsHedge(parts, call, now) || !parts.ServiceOf(call).hedge_budget.Spend(1.0))
     return false;
   call.hedged = true;
   ++parts.At(call.plan).totals.hedges;
@@ -120,6 +127,9 @@
   CallState& call = *parts.calls.Find(handle);
   if (IsRevalidating(parts, now))
     return false;
+  // The call waits for a token or was rejected.
+  if (!AcquireQuota(parts, handle, now, effects))
+    return true;
   if (parts.options.ask_first)
     return StartLoadProbing(parts, handle, now, effects);
   Selector selector(parts, parts.At(call.plan), call, now);
--- a/libs/core/src/gossip.cc
+++ b/libs/core/src/gossip.cc
@@ -12,6 +12,7 @@
 #include "core/gossip_message.h"
 #include "discovery.h"
 #include "endpoint_learning.h"
+#include "quota.h"
 #include "state_parts.h"
 #include "watchers.h"
 
@@ -317,6 +318,7 @@
   OnWatcherReply(parts, message);
   QueryIfLeavingDiffers(parts, message, event.now, effects);
   NotifyIfOutdated(parts, message, event.now, effects);
+  OnQuotaMessage(parts, message, event.now, effects);
   ListsTracker& lists = parts.lists;
   if (message.generation > lists.generation && message.generation >= lists.announced_generation) {
     lists.announced_generation = message.generation;
@@ -427,6 +429,26 @@
   }
 }
 
+void SendQuotaRequest(StateParts& parts,
+                      const std::string& address,
+                      const GossipMessage::QuotaRequest& request,
+                      TimePoint now,
+                      Effects& effects) {
+  std::shared_ptr<GossipMessage> message = MakeBaseMessage(parts, now);
+  message->quota_requests.push_back(request);
+  effects.push_back(Effect::SendGossip{address, std::move(message)});
+}
+
+void SendQuotaGrants(StateParts& parts,
+                     const std::string& address,
+                     std::vector<GossipMessage::QuotaGrant> grants,
+                     TimePoint now,
+                     Effects& effects) {
+  std::shared_ptr<GossipMessage> message = MakeBaseMessage(parts, now);
+  message->quota_grants = std::move(grants);
+  effects.push_back(Effect::SendGossip{address, std::move(message)});
+}
+
 void FetchListsFromPeers(StateParts& parts, size_t count, Effects& effects) {
   const auto& entries = parts.members.All();
   const auto& seeds = parts.options.seed_peers;
--- a/libs/core/src/gossip.h
+++ b/libs/core/src/gossip.h
@@ -6,6 +6,7 @@
 #include "base/clock.h"
 #include "core/effect.h"
 #include "core/event.h"
+#include "core/gossip_message.h"
 
 namespace sassafras {
 
@@ -47,6 +48,18 @@
 /** Asks a few peers for all their rumors; their replies end the revalidation after a pause. */
 void QueryPeersForRevalidation(StateParts& parts, TimePoint now, Effects& effects);
 
+/** Sends one request for tokens, or replies to such requests. */
+void SendQuotaRequest(StateParts& parts,
+                      const std::string& address,
+                      const GossipMessage::QuotaRequest& request,
+                      TimePoint now,
+                      Effects& effects);
+void SendQuotaGrants(StateParts& parts,
+                     const std::string& address,
+                     std::vector<GossipMessage::QuotaGrant> grants,
+                     TimePoint now,
+                     Effects& effects);
+
 /** Fetches lists from `count` random peers or seeds, if they have newer ones. */
 void FetchListsFromPeers(StateParts& parts, size_t count, Effects& effects);
 
--- a/libs/core/src/held_calls.cc
+++ b/libs/core/src/held_calls.cc
@@ -1,6 +1,11 @@
 #include "held_calls.h"
 
+#include <algorithm>
+#include <array>
 #include <chrono>
+#include <iterator>
+#include <tuple>
+#include <utility>
 #include <vector>
 
 #include "dispatch.h"
@@ -26,13 +31,52 @@
   return call != nullptr && call->stage == CallState::Stage::kProbing && call->reprobe_pending;
 }
 
+/**
+ * Removes a call of the account that holds the most calls, so that one account cannot take all places of the others.
+ * @return false if no account holds more calls than that of `call`, or only more urgent ones
+ */
+bool MakeRoom(StateParts& parts, std::vector<CallHandle>& held, const CallState& call) {
+  if (parts.accounts.Empty())
+    return false;
+  std::array<uint32_t, kMaxHeldCalls> accounts{};
+  for (size_t i = 0; i < accounts.size(); ++i)
+    accounts[i] = parts.calls.Find(held[i])->account.Index();
+  std::sort(accounts.begin(), accounts.end());
+  std::ptrdiff_t own = 0;
+  std::ptrdiff_t most = 0;
+  uint32_t account = 0;
+  for (auto first = accounts.begin(); first != accounts.end();) {
+    const auto last = std::upper_bound(first, accounts.end(), *first);
+    if (*first == call.account.Index())
+      own = last - first;
+    if (last - first > most) {
+      most = last - first;
+      account = *first;
+    }
+    first = last;
+  }
+  if (own + 1 >= most)
+    return false;
+  const auto newest = std::find_if(held.rbegin(), held.rend(), [&](CallHandle handle) {
+    const CallState& other = *parts.calls.Find(handle);
+    return other.account.Index() == account && other.priority >= call.priority;
+  });
+  if (newest == held.rend())
+    return false;
+  held.erase(std::next(newest).base());
+  return true;
+}
+
 /** Lets answers dispatch the held call, unless there are kMaxHeldCalls of them; returns whether they may. */
-bool AddHeld(StateParts& parts, ServiceState& service, CallHandle handle) {
+bool AddHeld(StateParts& parts, ServiceState& service, CallHandle handle, TimePoint now) {
   std::vector<CallHandle>& held = service.held_calls;
   std::erase_if(held, [&](CallHandle other) { return other == handle || !IsHeld(parts.calls.Find(other)); });
-  if (held.size() >= kMaxHeldCalls)
+  if (held.size() >= kMaxHeldCalls && !MakeRoom(parts, held, *parts.calls.Find(handle)))
     return false;
   held.push_back(handle);
+  CallState& call = *parts.calls.Find(handle);
+  if (!parts.accounts.Empty() && !std::exchange(call.was_held, true))
+    service.fairness.RecordHeld(call.account, now);
   return true;
 }
 
@@ -56,7 +100,7 @@
   if (!may_reprobe && !WouldWasteSlot(parts, call, endpoint, estimate, now))
     return false;
   // Without probes, only an answer could end the wait in time.
-  if (!AddHeld(parts, parts.ServiceOf(call), handle) && !may_reprobe)
+  if (!AddHeld(parts, parts.ServiceOf(call), handle, now) && !may_reprobe)
     return false;
   call.reprobe_pending = true;
   call.decide_at = may_reprobe ? now + kReprobeDelay : call.arrived_at + max_hold;
@@ -74,20 +118,28 @@
     return;
   if (!HasFreeSlot(state, load))
     return;
+  ServiceState& service = parts.At(state.service);
   CallHandle chosen;
-  for (const CallHandle handle : parts.At(state.service).held_calls) {
+  AccountFairness::Rank chosen_rank;
+  for (const CallHandle handle : service.held_calls) {
     const CallState* call = parts.calls.Find(handle);
     if (!IsHeld(call) || !IsEligible(parts, *call, endpoint, now))
       continue;
     const float estimate = EstimateLatency(parts, *call, endpoint, load, now) / AversionFactor(state);
     if (estimate > MaxAcceptableLatency(parts, *call, now))
       continue;
+    const AccountFairness::Rank rank =
+        parts.accounts.Empty() ? AccountFairness::Rank() : service.fairness.RankOf(call->account);
     const CallState* other = parts.calls.Find(chosen);
-    if (other == nullptr || call->priority < other->priority)
-      chosen = handle;
+    // Of two calls with the same rank, the one held longer comes first in the list.
+    if (other != nullptr && std::tie(other->priority, chosen_rank) <= std::tie(call->priority, rank))
+      continue;
+    chosen = handle;
+    chosen_rank = rank;
   }
   if (CallState* call = parts.calls.Find(chosen)) {
     call->reprobe_pending = false;
+    service.fairness.Advance(chosen_rank);
     Dispatch(parts, chosen, endpoint, now, effects);
   }
 }
--- a/libs/core/src/held_calls.h
+++ b/libs/core/src/held_calls.h
@@ -36,8 +36,9 @@
                    Effects& effects);
 
 /**
- * Sends a held call to the endpoint if `load`, which came with an answer that just ended, shows a free slot: the most
- * urgent call that would end in time there, and of those the one held longest. This costs no probe.
+ * Sends a held call to the endpoint if `load`, which came with an answer that just ended, shows a free slot: of the most
+ * urgent calls that would end in time there, one of the account that is next by AccountFairness, and of those the one
+ * held longest. This costs no probe.
  */
 void DispatchHeldCall(StateParts& parts,
                       EndpointHandle endpoint,
--- a/libs/core/src/membership.cc
+++ b/libs/core/src/membership.cc
@@ -147,6 +147,24 @@
   }));
 }
 
+std::array<const Membership::Entry*, 2> Membership::FirstTwoFor(uint64_t seed, TimePoint now) const {
+  std::array<const Entry*, 2> first{};
+  std::array<uint64_t, 2> hashes{};
+  for (const Entry& entry : m_entries) {
+    if (!IsAlive(entry, now) || entry.member.leaving)
+      continue;
+    const uint64_t hash = HashCombine(seed, entry.name_hash);
+    if (first[0] == nullptr || hash < hashes[0]) {
+      first = {&entry, first[0]};
+      hashes = {hash, hashes[0]};
+    } else if (first[1] == nullptr || hash < hashes[1]) {
+      first[1] = &entry;
+      hashes[1] = hash;
+    }
+  }
+  return first;
+}
+
 size_t Membership::RankPreferringReachable(uint64_t seed,
                                            uint64_t self_hash,
                                            TimePoint now,
--- a/libs/core/src/membership.h
+++ b/libs/core/src/membership.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <array>
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -71,6 +72,8 @@
    * members agree on the order, and one member that joins or leaves moves the others by at most one.
    */
   size_t RankFor(uint64_t seed, uint64_t self_hash, TimePoint now) const;
+  /** First and second of the serving members in the order of RankFor(); null where there is none. */
+  std::array<const Entry*, 2> FirstTwoFor(uint64_t seed, TimePoint now) const;
   /**
    * Like RankFor(), but members that cannot reach the platform's store rank after all others.
    * @param domain  failure domain whose members are counted; empty for all
--- a/libs/core/src/service_state.h
+++ b/libs/core/src/service_state.h
@@ -3,6 +3,7 @@
 #include <array>
 #include <vector>
 
+#include "account_fairness.h"
 #include "attempt_budget.h"
 #include "base/clock.h"
 #include "base/handle.h"
@@ -23,6 +24,7 @@
    * that wait no longer.
    */
   std::vector<CallHandle> held_calls;
+  AccountFairness fairness;
   /** One queue per Work value, so that short calls never wait behind long ones. */
   std::array<WaitQueue, 2> queues;
   /** Virtual time of fair queueing: virtual finish time of the last call dispatched from a queue. */
--- a/libs/core/src/state.cc
+++ b/libs/core/src/state.cc
@@ -204,6 +204,14 @@
   return m_parts->probes_sent;
 }
 
+const QuotaCounters& State::Quotas() const {
+  return m_parts->quota.counters;
+}
+
+size_t State::QuotaShardsHeld() const {
+  return m_parts->quota.shards.Size();
+}
+
 size_t State::RecordCount() const {
   return m_parts->records.Size();
 }
@@ -222,6 +230,7 @@
   bytes += m_parts->services.size() * sizeof(ServiceState);
   bytes += m_parts->members.All().size() * sizeof(Membership::Entry);
   bytes += m_parts->records.Size() * sizeof(IdempotencyTable::Record);
+  bytes += m_parts->accounts.Size() * sizeof(AccountState) + m_parts->quota.Bytes();
   return bytes;
 }
 
--- a/libs/core/src/state_parts.h
+++ b/libs/core/src/state_parts.h
@@ -20,6 +20,7 @@
 #include "plan_state.h"
 #include "probe_schedule.h"
 #include "quarantine.h"
+#include "quota_state.h"
 #include "rejected_calls.h"
 #include "roster_state.h"
 #include "rumor_board.h"
@@ -62,6 +63,7 @@
   IdempotencyTable records;
   Quarantine quarantine;
   RejectedCalls rejected_calls;
+  QuotaState quota;
   ListsTracker lists;
   Membership members;
   RumorBoard rumors;
--- a/libs/entry/src/entry_instance.cc
+++ b/libs/entry/src/entry_instance.cc
@@ -20,6 +20,7 @@
 #include "control_link.h"
 #include "control_sink.h"
 #include "core/gossip_message.h"
+#include "core/quota_counters.h"
 #include "core/state_options.h"
 #include "engine.h"
 #include "entry/http_dialect.h"
@@ -382,6 +383,11 @@
   set("sassafras_idempotency_records", state.RecordCount());
   set("sassafras_quarantined_requests", state.QuarantineCount());
   set("sassafras_table_bytes", state.TableBytes());
+  set("sassafras_quota_tokens_requested_total", state.Quotas().tokens_requested);
+  set("sassafras_quota_tokens_granted_total", state.Quotas().tokens_granted);
+  set("sassafras_quota_calls_denied_total", state.Quotas().calls_denied);
+  set("sassafras_quota_fallback_admissions_total", state.Quotas().fallback_admissions);
+  set("sassafras_quota_shards", state.QuotaShardsHeld());
 }
 
 EntryInstance::EntryInstance(asio::io_context& context,
