Fairness: free slots go to the account that is next by its rate; quotas hold in a partition

Held calls of accounts were ordered by priority and age alone, and new calls took free slots before held ones, so that an account with many calls got most of them. Slots now go by start-time fair queueing, also those that a call's own probes find.

Mutants for both parts are added.

--- a/libs/core/src/held_calls.cc
+++ b/libs/core/src/held_calls.cc
@@ -3,11 +3,12 @@
 #include <algorithm>
 #include <array>
 #include <chrono>
+#include <compare>
 #include <iterator>
-#include <tuple>
 #include <utility>
 #include <vector>
 
+#include "call_end.h"
 #include "dispatch.h"
 #include "latency_estimate.h"
 #include "selection.h"
@@ -108,6 +109,58 @@
   return true;
 }
 
+namespace {
+
+/** Place of a call in the order in which calls get free slots; lower ones are first. */
+struct SlotRank {
+  uint8_t priority = 0;
+  AccountFairness::Rank account;
+  friend auto operator<=>(const SlotRank&, const SlotRank&) = default;
+};
+
+SlotRank RankOf(const StateParts& parts, const ServiceState& service, const CallState& call) {
+  const bool by_account = !parts.accounts.Empty();
+  return {call.priority, by_account ? service.fairness.RankOf(call.account) : AccountFairness::Rank()};
+}
+
+/**
+ * Finds the held call that is next and would end in time at the endpoint.
+ * @param estimate_of  returns the estimated duration of a call there, in microseconds
+ */
+template <typename Estimate>
+CallHandle NextHeldCall(StateParts& parts,
+                        const ServiceState& service,
+                        EndpointHandle endpoint,
+                        Estimate estimate_of,
+                        TimePoint now) {
+  CallHandle next;
+  SlotRank next_rank;
+  for (const CallHandle handle : service.held_calls) {
+    const CallState* call = parts.calls.Find(handle);
+    if (!IsHeld(call) || !IsEligible(parts, *call, endpoint, now))
+      continue;
+    if (estimate_of(*call) > MaxAcceptableLatency(parts, *call, now))
+      continue;
+    const SlotRank rank = RankOf(parts, service, *call);
+    // Of two calls with the same rank, the one held longer comes first in the list.
+    if (parts.calls.Find(next) != nullptr && next_rank <= rank)
+      continue;
+    next = handle;
+    next_rank = rank;
+  }
+  return next;
+}
+
+void DispatchHeld(StateParts& parts, CallHandle handle, EndpointHandle endpoint, TimePoint now, Effects& effects) {
+  CallState& call = *parts.calls.Find(handle);
+  ServiceState& service = parts.ServiceOf(call);
+  call.reprobe_pending = false;
+  service.fairness.Advance(RankOf(parts, service, call).account);
+  Dispatch(parts, handle, endpoint, now, effects);
+}
+
+}  // namespace
+
 void DispatchHeldCall(StateParts& parts,
                       EndpointHandle endpoint,
                       const LoadReport& load,
@@ -118,30 +171,43 @@
     return;
   if (!HasFreeSlot(state, load))
     return;
-  ServiceState& service = parts.At(state.service);
-  CallHandle chosen;
-  AccountFairness::Rank chosen_rank;
-  for (const CallHandle handle : service.held_calls) {
-    const CallState* call = parts.calls.Find(handle);
-    if (!IsHeld(call) || !IsEligible(parts, *call, endpoint, now))
-      continue;
-    const float estimate = EstimateLatency(parts, *call, endpoint, load, now) / AversionFactor(state);
-    if (estimate > MaxAcceptableLatency(parts, *call, now))
-      continue;
-    const AccountFairness::Rank rank =
-        parts.accounts.Empty() ? AccountFairness::Rank() : service.fairness.RankOf(call->account);
-    const CallState* other = parts.calls.Find(chosen);
-    // Of two calls with the same rank, the one held longer comes first in the list.
-    if (other != nullptr && std::tie(other->priority, chosen_rank) <= std::tie(call->priority, rank))
-      continue;
-    chosen = handle;
-    chosen_rank = rank;
-  }
-  if (CallState* call = parts.calls.Find(chosen)) {
-    call->reprobe_pending = false;
-    service.fairness.Advance(chosen_rank);
-    Dispatch(parts, chosen, endpoint, now, effects);
+  const auto estimate_of = [&](const CallState& call) {
+    return EstimateLatency(parts, call, endpoint, load, now) / AversionFactor(state);
+  };
+  const CallHandle next = NextHeldCall(parts, parts.At(state.service), endpoint, estimate_of, now);
+  if (parts.calls.Find(next) != nullptr)
+    DispatchHeld(parts, next, endpoint, now, effects);
+}
+
+bool YieldToHeldCall(StateParts& parts,
+                     CallHandle handle,
+                     EndpointHandle endpoint,
+                     float estimate,
+                     TimePoint now,
+                     Effects& effects) {
+  CallState& call = *parts.calls.Find(handle);
+  ServiceState& service = parts.ServiceOf(call);
+  if (parts.accounts.Empty() || service.held_calls.empty() || call.attempts > 0)
+    return false;
+  const TimePoint hold_until = call.arrived_at + MaxProbeWait(parts, call);
+  if (now + kReprobeDelay > hold_until)
+    return false;
+  const float latency = estimate / AversionFactor(parts.At(endpoint));
+  const CallHandle next = NextHeldCall(
+      parts, service, endpoint, [latency](const CallState&) { return latency; }, now);
+  const CallState* other = parts.calls.Find(next);
+  if (other == nullptr || RankOf(parts, service, *other) >= RankOf(parts, service, call))
+    return false;
+  DispatchHeld(parts, next, endpoint, now, effects);
+  const bool may_reprobe = parts.load_probe_budget.FillLevel() >= kReprobeBudgetLevel;
+  if (!AddHeld(parts, service, handle, now) && !may_reprobe) {
+    EndRejected(parts, handle, Reason::kOverloaded, now, effects);
+    return true;
   }
+  call.reprobe_pending = true;
+  call.decide_at = may_reprobe ? now + kReprobeDelay : hold_until;
+  effects.push_back(Effect::ArmProbeWaitTimer{call.ticket, call.decide_at});
+  return true;
 }
 
 }  // namespace sassafras
--- a/libs/core/src/held_calls.h
+++ b/libs/core/src/held_calls.h
@@ -36,9 +36,9 @@
                    Effects& effects);
 
 /**
- * Sends a held call to the endpoint if `load`, which came with an answer that just ended, shows a free slot: of the most
- * urgent calls that would end in time there, one of the account that is next by AccountFairness, and of those the one
- * held longest. This costs no probe.
+ * Sends a held call to the endpoint if `load`, which came with an answer that just ended, shows a free slot: of the
+ * most urgent calls that would end in time there, one of the account that is next by AccountFairness, and of those the
+ * one held longest. This costs no probe.
  */
 void DispatchHeldCall(StateParts& parts,
                       EndpointHandle endpoint,
@@ -46,4 +46,16 @@
                       TimePoint now,
                       Effects& effects);
 
+/**
+ * Sends a held call in place of this one to the endpoint at which its own probes found a free slot, if that call is
+ * next by priority and account, and holds this one. Otherwise the calls of an account with many calls would get most
+ * slots before those that are held.
+ */
+bool YieldToHeldCall(StateParts& parts,
+                     CallHandle handle,
+                     EndpointHandle endpoint,
+                     float estimate,
+                     TimePoint now,
+                     Effects& effects);
+
 }  // namespace sassafras
--- a/libs/core/src/load_probing.cc
+++ b/libs/core/src/load_probing.cc
@@ -164,6 +164,8 @@
     EndRejected(parts, handle, Reason::kOverloaded, now, effects);
     return;
   }
+  if (has_estimate && YieldToHeldCall(parts, handle, endpoint, estimate, now, effects))
+    return;
   if (!has_estimate)
     endpoint = FallbackEndpoint(parts, call, now);
   if (!endpoint.IsValid()) {
--- a/libs/core/src/membership.h
+++ b/libs/core/src/membership.h
@@ -60,6 +60,8 @@
   std::vector<std::string> TakeLivenessChanges(bool alive, TimePoint now);
 
   bool IsAlive(const Entry& entry, TimePoint now) const { return now - entry.heard_at < m_silent_timeout; }
+  /** Usual time since the heartbeat of a member last advanced. */
+  Duration MeanHeartbeatAge() const { return m_mean_heartbeat_age; }
   const std::vector<Entry>& All() const { return m_entries; }
   /** Finds a member by name; null if there is none. */
   const Entry* Find(std::string_view name) const;
--- a/libs/core/src/quota.cc
+++ b/libs/core/src/quota.cc
@@ -46,6 +46,12 @@
 constexpr milliseconds kInTouchTime{400};
 /** Members that have been silent for longer are taken to have ended, not to use their local shares. */
 constexpr std::chrono::seconds kSilentMemberTime{60};
+/**
+ * If the heartbeats of this share of the members are overdue at once, there is a partition: that they are silent is
+ * taken for granted at twice the usual age of heartbeats instead of the silent timeout of a single member.
+ */
+constexpr double kPartitionShare = 0.25;
+constexpr std::chrono::seconds kMinOverdueTime{1};
 /**
  * Share of the rate that a member grants in place of the first one, and of its local share that an instance uses, while
  * the first member or the peers are heard: single datagrams were lost, and the owner still grants the whole rate.
@@ -122,17 +128,25 @@
   return static_cast<double>(std::max<size_t>({1, parts.largest_fleet, parts.members.CountServing(now)}));
 }
 
-/** Share of the rate that owners may grant while silent members may use their local shares. */
+/**
+ * Share of the rate that owners may grant while silent members may use their local shares, or have owners of their own.
+ */
 double PresentShare(const StateParts& parts, TimePoint now) {
   double known = 0;
   double silent = 0;
+  double overdue = 0;
+  const Duration usual_age = std::max<Duration>(kMinOverdueTime, 2 * parts.members.MeanHeartbeatAge());
   for (const Membership::Entry& entry : parts.members.All()) {
     if (entry.member.leaving)
       continue;
     ++known;
     if (!parts.members.IsAlive(entry, now) && now - entry.heard_at < kSilentMemberTime)
       ++silent;
+    if (now - entry.heard_at > usual_age && now - entry.heard_at < kSilentMemberTime)
+      ++overdue;
   }
+  if (overdue >= kPartitionShare * known)
+    silent = overdue;
   const bool cut_off = !IsInTouch(parts, now) && parts.members.CountServing(now) > 1;
   return cut_off ? 1 / known : 1 - silent / std::max(1.0, known);
 }
--- a/libs/core/src/quota_shards.cc
+++ b/libs/core/src/quota_shards.cc
@@ -46,7 +46,7 @@
   // A bucket that cannot hold one token would never grant any.
   const double limit = std::max(1.0, account.burst / shards);
   if (added)
-    bucket.tokens = std::max(1.0, limit / 2);
+    bucket.tokens = std::max(1.0, limit / 2 * rate_factor);
   else
     bucket.tokens += Seconds(now - bucket.filled_at).count() * rate;
   bucket.tokens = std::clamp(bucket.tokens - demand.owed, -full_rate * kMaxDebtSeconds, limit);
--- a/libs/core/tests/quota_fleet.cc
+++ b/libs/core/tests/quota_fleet.cc
@@ -224,7 +224,8 @@
   ++m_datagram_count;
   const auto target = static_cast<size_t>(std::stoul(effect.peer_address.substr(1)));
   const bool lost = std::bernoulli_distribution(m_loss_rate)(m_random);
-  if (lost || m_instances[index].isolated || m_instances[target].isolated)
+  const bool separated = (index < m_partition) != (target < m_partition);
+  if (lost || separated || m_instances[index].isolated || m_instances[target].isolated)
     return;
   RunAfter(NetworkDelay(), [this, target, message = effect.message] {
     if (m_instances[target].state != nullptr)
--- a/libs/core/tests/quota_fleet.h
+++ b/libs/core/tests/quota_fleet.h
@@ -54,6 +54,8 @@
   void Kill(size_t instance);
   void Restart(size_t instance);
   void SetIsolated(size_t instance, bool isolated) { m_instances[instance].isolated = isolated; }
+  /** Separates the first `count` instances from the others; 0 for none. */
+  void SetPartition(size_t count) { m_partition = count; }
   void SetLossRate(double rate) { m_loss_rate = rate; }
   /** Makes the answer of each attempt a refusal with this probability, so that calls are tried again. */
   void SetBrokenRate(double rate) { m_broken_rate = rate; }
@@ -120,6 +122,7 @@
   std::vector<Call> m_calls;
   std::vector<Counts> m_counts;
   std::vector<std::vector<TimePoint>> m_dispatches;
+  size_t m_partition = 0;
   double m_loss_rate = 0;
   double m_broken_rate = 0;
   size_t m_datagram_count = 0;
--- a/libs/core/tests/quota_test.cc
+++ b/libs/core/tests/quota_test.cc
@@ -84,6 +84,26 @@
   }
 }
 
+// Guards against the owners of two parts of the fleet that each grant the whole rate until members count as silent.
+TEST_CASE("quota: all accounts over their limit while the fleet is split into halves") {
+  for (const size_t instances : {kInstances, 5 * kInstances}) {
+    for (uint64_t seed = 1; seed <= kSeeds; ++seed) {
+      CAPTURE(instances);
+      CAPTURE(seed);
+      QuotaFleet fleet(instances, SmallAndLarge(), seed);
+      fleet.Advance(Millis(3'000));
+      fleet.SetLoads(LoadAll(fleet, SmallAndLarge(), 5));
+      fleet.Advance(Millis(10'000));
+      fleet.SetPartition(instances / 2);
+      fleet.Advance(Millis(15'000));
+      fleet.SetPartition(0);
+      fleet.Advance(Millis(5'000));
+      CHECK(fleet.WorstWindow(0) <= 1.0);
+      CHECK(fleet.WorstWindow(1) <= 1.0);
+    }
+  }
+}
+
 // Guards against buckets and stocks that keep the tokens of the former limit.
 TEST_CASE("quota: the limit lowered under load") {
   for (uint64_t seed = 1; seed <= kSeeds; ++seed) {
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -52,6 +52,10 @@
      "received.whole"),
     ("interim_responses_without_end", ENTRY_SOURCES + "attempt.cc", "interim <= kMaxInterimResponses", "true",
      "sent < kBoundedBytes"),
+    ("quota_bucket_never_empties", CORE_SOURCES + "quota_shards.cc", "bucket.tokens -= grant.granted;", "",
+     "fleet.WorstWindow(0"),
+    ("fairness_removed", CORE_SOURCES + "held_calls.cc", "service.fairness.RankOf(call.account)",
+     "AccountFairness::Rank()", "load.CountsOf(i).Share()"),
     ("lose_waiting_call", CORE_SOURCES + "dispatch.cc", "queue.Push(skipped[i]);", "(void)skipped[i];", "never"),
 ]
 
