--- a/libs/store/include/store/plans_defects.h
+++ b/libs/store/include/store/plans_defects.h
@@ -8,7 +8,7 @@
 /** Parts of a plans document that could not be decoded, for the log. */
 struct PlansDefects {
   size_t count = 0;
-  /** Where the first one is, and what stands in for it. */
+  /** Where the first few are, what stands in for them, and where it helps what to do. */
   std::string first;
 };
 
