Strict revocation: calls with API keys run only with a recent, sound confirmation of the lists

A removed key must have no effect 5 s after the store acknowledged its removal, also on instances that are frozen, cut off or fed by stale peers. The confirmation counts from the start of a read of the store or of this instance's own query to a peer, and it and the key are checked at admission, at each dispatch and before a request is written. Instances that lack it reject such calls as not run, leave their address answers, look for a confirmation and come back by themselves.

--- a/libs/core/include/core/event.h
+++ b/libs/core/include/core/event.h
@@ -55,6 +55,16 @@
   struct StoreConfirmed {
     TimePoint now;
     uint64_t generation = 0;
+    /**
+     * When the read was begun, as a time that advances while the machine is suspended; not set if the read may have
+     * returned data from before its begin, or if what it returned could not be used.
+     */
+    TimePoint read_started_at{};
+  };
+  /** The machine was found to have been suspended for `total` since its start, while the time of events stood still. */
+  struct SuspensionNoticed {
+    TimePoint now;
+    Duration total{};
   };
   /** The platform's directory of entry instances and of leaving endpoints was read. */
   struct DirectoryReceived {
@@ -107,6 +117,8 @@
     PlanHandle plan;
     /** Client account whose API key the request carries; invalid if it carries none or an unknown one. */
     AccountHandle account;
+    /** Hash64() of that API key; 0 if unknown, so that the key is taken to stay with the account. */
+    uint64_t api_key_hash = 0;
     /** Time from then until the caller's deadline; the plan's deadline applies too. */
     Duration time_left = Duration::max();
     /** Hash of method, path and body. */
@@ -191,6 +203,7 @@
 
   using Any = std::variant<ListsReceived,
                            StoreConfirmed,
+                           SuspensionNoticed,
                            DirectoryReceived,
                            EndpointsReceived,
                            RosterReceived,
--- a/libs/core/include/core/log_record.h
+++ b/libs/core/include/core/log_record.h
@@ -22,11 +22,15 @@
     kRequestQuarantined,
     kWatching,
     kNotWatching,
+    /** Calls with API keys are rejected: the lists were not confirmed recently enough. */
+    kKeysNotConfirmed,
+    kKeysConfirmed,
   };
   Kind kind = Kind::kEndpointServing;
   /** Name of an endpoint, of the first of several members or of this instance, or the fingerprint of a request. */
   std::string subject;
-  /** Revision of the store, incarnation or number of members, depending on `kind`; 0 if not applicable. */
+  /** Revision of the store, incarnation, number of members or age in milliseconds, depending on `kind`; 0 if not
+   * applicable. */
   uint64_t version = 0;
   /** How long the change holds; zero if indefinitely. */
   std::chrono::milliseconds lifetime{};
--- a/libs/core/include/core/state.h
+++ b/libs/core/include/core/state.h
@@ -8,6 +8,7 @@
 
 #include "base/clock.h"
 #include "base/handle.h"
+#include "core/call_handle.h"
 #include "core/endpoint_change.h"
 #include "core/member.h"
 
@@ -59,6 +60,16 @@
   const Plan& PlanConfig(PlanHandle plan) const;
   /** Whether there are client accounts, so that calls of plans that are not public need an API key. */
   bool HasAccounts() const;
+  /** Whether calls with API keys run only while the lists were confirmed recently. */
+  bool NeedsKeyConfirmation() const;
+  /** Whether calls with API keys may run now, as far as the confirmation of the lists is concerned. */
+  bool AreKeysConfirmed(TimePoint now) const;
+  /** Time since the lists were last confirmed soundly enough for API keys; GossipMessage::kMaxAge if never. */
+  std::chrono::milliseconds KeyConfirmationAge(TimePoint now) const;
+  /** Number of calls rejected because of their API key. */
+  uint64_t CallsRejectedForKeys() const;
+  /** Whether the API key of the call, if it needs one, allows that the call is sent now; false for ended calls. */
+  bool MaySendWithKey(CallHandle call, TimePoint now) const;
   /** Finds the account that holds the API key; invalid if none does. */
   AccountHandle FindAccount(std::string_view key) const;
   /** Name of the account; valid until the next Event::ListsReceived. */
@@ -80,7 +91,10 @@
   /** Number of calls from this instance in progress at the endpoint. */
   uint32_t InFlight(EndpointHandle endpoint) const;
 
-  /** Members that callers may use, including this instance unless it is leaving. */
+  /**
+   * Members that callers may use, including this instance unless it is leaving or cannot confirm API keys. An instance
+   * that cannot confirm them and knows no other member includes itself for the sake of calls that need no key.
+   */
   std::vector<Member> ServingMembers() const;
   /** Members that a caller in `failure_domain` should use: only those of that domain if there are enough. */
   std::vector<Member> MembersFor(std::string_view failure_domain) const;
--- a/libs/core/src/account_table.h
+++ b/libs/core/src/account_table.h
@@ -23,6 +23,8 @@
 
   /** Returns the account that holds the key; an invalid handle if none does. Does not allocate. */
   AccountHandle FindByKey(std::string_view key) const;
+  /** Like FindByKey(), by the Hash64() of the key. */
+  AccountHandle FindByKeyHash(uint64_t key_hash) const;
   /** Returns the account whose name has this Hash64(); an invalid handle if none in use has. */
   AccountHandle FindByNameHash(uint64_t name_hash) const;
 
@@ -43,6 +45,7 @@
 
   std::vector<AccountState> m_accounts;
   absl::flat_hash_map<std::string, AccountHandle, KeyHash, std::equal_to<>> m_by_key;
+  absl::flat_hash_map<uint64_t, AccountHandle> m_by_key_hash;
   absl::flat_hash_map<uint64_t, AccountHandle> m_by_name;
   size_t m_active_count = 0;
 };
--- a/libs/core/src/attempts.cc
+++ b/libs/core/src/attempts.cc
@@ -7,6 +7,7 @@
 #include "dispatch.h"
 #include "endpoint_learning.h"
 #include "held_calls.h"
+#include "key_confirmation.h"
 #include "load_probing.h"
 #include "selection.h"
 #include "state_parts.h"
@@ -197,6 +198,9 @@
     EndCancelled(parts, event.call, true, event.now, effects);
     return;
   }
+  // The attempt was withdrawn because of the key, so that is the reason to report, not the lack of an answer.
+  if (event.result == AttemptResult::kWithdrawn && RejectIfKeyForbids(parts, event.call, event.now, effects))
+    return;
   const Reason reason = RejectionReason(event.result, call.may_have_run, event.now < call.deadline);
   if (TryAcquireRetry(parts, call, event.result, event.now)) {
     ++parts.At(call.plan).totals.retries;
--- a/libs/core/src/call_end.cc
+++ b/libs/core/src/call_end.cc
@@ -143,6 +143,7 @@
     case Reason::kConnectFailed:
       return random_part(0.03, 0.12);
     case Reason::kNoEndpoint:
+    case Reason::kKeysNotConfirmed:
       return random_part(0.1, 0.3);
     default:
       return {};
--- a/libs/core/src/call_state.h
+++ b/libs/core/src/call_state.h
@@ -34,6 +34,8 @@
   PlanHandle plan;
   /** Client account of the call; invalid if its plan needs no API key or there are no accounts. */
   AccountHandle account;
+  /** Hash64() of the API key with which the call was admitted. */
+  uint64_t api_key_hash = 0;
   /** Priority of the account or else of the plan; lower values are more urgent. */
   uint8_t priority = 0;
   /** The service chosen for the call among those of its plan. */
--- a/libs/core/src/calls.cc
+++ b/libs/core/src/calls.cc
@@ -2,10 +2,12 @@
 
 #include <algorithm>
 #include <chrono>
+#include <optional>
 #include <utility>
 
 #include "call_end.h"
 #include "dispatch.h"
+#include "key_confirmation.h"
 #include "state_parts.h"
 
 namespace sassafras {
@@ -52,23 +54,31 @@
   return parts.At(event.plan).config.priority;
 }
 
-/** Whether the call must carry an API key of an account, and does not. */
-bool LacksKey(StateParts& parts, const Event::CallArrived& event) {
-  const bool needs_key = !parts.accounts.Empty() && !parts.At(event.plan).config.is_public;
-  return needs_key && !parts.accounts.IsActive(event.account);
+/** Whether the call must carry an API key of an account. */
+bool NeedsKey(StateParts& parts, const Event::CallArrived& event) {
+  return parts.HasAccounts() && !parts.At(event.plan).config.is_public;
 }
 
-/** Rejects a call without a known API key; with 401 only if no account can hold the key. */
-void RejectUnauthorized(StateParts& parts, const Event::CallArrived& event, Effects& effects) {
-  const bool known = parts.lists.AreCurrent(event.now) && !parts.lists.lack_accounts;
-  RejectCounted(parts, event, known ? Reason::kUnauthorized : Reason::kListsNotCurrent, effects);
+/** Returns why the API key of the call, or its lack, forbids the call; nothing if it may run. */
+std::optional<Reason> KeyRejection(StateParts& parts, const Event::CallArrived& event) {
+  if (!NeedsKey(parts, event))
+    return std::nullopt;
+  const bool confirmed = AreKeysConfirmed(parts, event.now);
+  if (parts.accounts.IsActive(event.account))
+    return confirmed ? std::nullopt : std::optional(Reason::kKeysNotConfirmed);
+  // An account that this instance does not know may hold the key.
+  const bool known = confirmed && parts.lists.AreCurrent(event.now) && !parts.lists.lack_accounts;
+  return known ? Reason::kUnauthorized : Reason::kListsNotCurrent;
 }
 
 CallHandle Accept(StateParts& parts, const Event::CallArrived& event, Effects& effects) {
   const CallHandle handle = parts.calls.Add();
   CallState& call = *parts.calls.Find(handle);
   call.plan = event.plan;
-  call.account = event.account;
+  if (NeedsKey(parts, event)) {
+    call.account = event.account;
+    call.api_key_hash = event.api_key_hash;
+  }
   call.priority = PriorityOf(parts, event);
   call.ticket = event.ticket;
   call.fingerprint = event.fingerprint;
@@ -193,8 +203,9 @@
     return;
   }
   PlanState& plan = parts.At(event.plan);
-  if (LacksKey(parts, event)) {
-    RejectUnauthorized(parts, event, effects);
+  if (const auto reason = KeyRejection(parts, event)) {
+    ++parts.keys.rejected_calls;
+    RejectCounted(parts, event, *reason, effects);
     return;
   }
   if (parts.quarantine.IsQuarantined(event.fingerprint, event.now)) {
--- a/libs/core/src/control.cc
+++ b/libs/core/src/control.cc
@@ -8,6 +8,7 @@
 #include "dispatch.h"
 #include "endpoint_learning.h"
 #include "gossip.h"
+#include "key_confirmation.h"
 #include "lists/lists.h"
 #include "lists_apply.h"
 #include "load_probing.h"
@@ -160,6 +161,7 @@
   parts.endpoints.ReclaimInactive(now);
   UpdateWatch(parts, now, effects);
   PollIfDue(parts, now, effects);
+  UpdateKeyConfirmation(parts, now, effects);
   ClaimSeats(parts, now, effects);
   RefreshRoster(parts, now, effects);
   if (parts.phase == Phase::kStarting)
@@ -211,6 +213,8 @@
     EndRevalidationIfAlone(parts, event.now);
   if (event.generation <= lists.generation)
     lists.store_confirmed_at = event.now;
+  if (event.generation <= lists.generation && event.read_started_at != TimePoint())
+    ConfirmKeys(parts, event.read_started_at, event.now);
   const bool older = event.generation < lists.generation;
   if (!older || !lists.watching || event.now - lists.last_restore < kMinRestoreInterval)
     return;
--- a/libs/core/src/dispatch.cc
+++ b/libs/core/src/dispatch.cc
@@ -6,6 +6,7 @@
 #include <cmath>
 
 #include "call_end.h"
+#include "key_confirmation.h"
 #include "load_probing.h"
 #include "probe_results.h"
 #include "selection.h"
@@ -84,6 +85,8 @@
 
 void Dispatch(StateParts& parts, CallHandle handle, EndpointHandle endpoint, TimePoint now, Effects& effects) {
   CallState& call = *parts.calls.Find(handle);
+  if (call.attempts_outstanding == 0 && RejectIfKeyForbids(parts, handle, now, effects))
+    return;
   const PlanState& plan = parts.At(call.plan);
   EndpointState& state = parts.At(endpoint);
   if (state.in_flight == 0)
@@ -108,6 +111,8 @@
 
 bool Hedge(StateParts& parts, CallHandle handle, EndpointHandle endpoint, TimePoint now, Effects& effects) {
   CallState& call = *parts.calls.Find(handle);
+  if (KeyRejection(parts, call, now).has_value())
+    return false;
   if (!parts.ServiceOf(call).hedge_budget.Spend(1.0))
     return false;
   call.hedged = true;
@@ -117,6 +122,9 @@
 }
 
 bool TryDispatch(StateParts& parts, CallHandle handle, TimePoint now, Effects& effects) {
+  // A call whose key has become invalid need not wait for an endpoint.
+  if (RejectIfKeyForbids(parts, handle, now, effects))
+    return true;
   CallState& call = *parts.calls.Find(handle);
   if (IsRevalidating(parts, now))
     return false;
--- a/libs/core/src/gossip.cc
+++ b/libs/core/src/gossip.cc
@@ -12,6 +12,7 @@
 #include "core/gossip_message.h"
 #include "discovery.h"
 #include "endpoint_learning.h"
+#include "key_confirmation.h"
 #include "state_parts.h"
 #include "watchers.h"
 
@@ -154,6 +155,7 @@
   message->sender = parts.self;
   message->generation = parts.lists.generation;
   message->store_age = duration_cast<milliseconds>(now - parts.lists.store_confirmed_at);
+  message->lists_confirmed_age = KeyConfirmationAge(parts, now);
   message->endpoints_digest = parts.feed.Digest();
   message->endpoints_as_of = parts.feed.CompleteRevision(now);
   message->leaving_digest = parts.rumors.LeavingDigest();
@@ -314,7 +316,8 @@
   ApplyEndpointsFromPeer(parts, message, event.now, effects);
   if (message.ask != 0)
     ReplyToQuery(parts, message, event.now, effects);
-  OnWatcherReply(parts, message);
+  OnWatcherReply(parts, message, event.now);
+  OnKeyQueryReply(parts, message, event.now);
   QueryIfLeavingDiffers(parts, message, event.now, effects);
   NotifyIfOutdated(parts, message, event.now, effects);
   ListsTracker& lists = parts.lists;
--- a/libs/core/src/lists_tracker.h
+++ b/libs/core/src/lists_tracker.h
@@ -18,6 +18,9 @@
    */
   bool AreCurrent(TimePoint now) const;
 
+  /** Whether a peer has lately announced a generation above that of the lists in use. */
+  bool IsNewerAnnounced(TimePoint now) const;
+
   uint64_t generation = 0;
   /** Whether the lists lack a plan that could not be decoded. */
   bool lack_plans = false;
--- a/libs/core/src/reducer.cc
+++ b/libs/core/src/reducer.cc
@@ -8,6 +8,7 @@
 #include "control.h"
 #include "discovery.h"
 #include "gossip.h"
+#include "key_confirmation.h"
 #include "load_probing.h"
 #include "roster.h"
 #include "state_parts.h"
@@ -22,6 +23,7 @@
 
   void operator()(const Event::ListsReceived& event) { OnListsReceived(parts, event, effects); }
   void operator()(const Event::StoreConfirmed& event) { OnStoreConfirmed(parts, event, effects); }
+  void operator()(const Event::SuspensionNoticed& event) { OnSuspensionNoticed(parts, event); }
   void operator()(const Event::DirectoryReceived& event) { OnDirectoryReceived(parts, event, effects); }
   void operator()(const Event::GossipReceived& event) { OnGossipReceived(parts, event, effects); }
   void operator()(const Event::CallArrived& event) { OnCallArrived(parts, event, effects); }
--- a/libs/core/src/state.cc
+++ b/libs/core/src/state.cc
@@ -8,6 +8,7 @@
 #include "core/plan_counters.h"
 #include "core/state_options.h"
 #include "dispatch.h"
+#include "key_confirmation.h"
 #include "state_parts.h"
 
 namespace sassafras {
@@ -79,7 +80,30 @@
 }
 
 bool State::HasAccounts() const {
-  return !m_parts->accounts.Empty();
+  return m_parts->HasAccounts();
+}
+
+bool State::NeedsKeyConfirmation() const {
+  return sassafras::NeedsKeyConfirmation(*m_parts);
+}
+
+bool State::AreKeysConfirmed(TimePoint now) const {
+  return sassafras::AreKeysConfirmed(*m_parts, now);
+}
+
+std::chrono::milliseconds State::KeyConfirmationAge(TimePoint now) const {
+  return sassafras::KeyConfirmationAge(*m_parts, now);
+}
+
+uint64_t State::CallsRejectedForKeys() const {
+  return m_parts->keys.rejected_calls;
+}
+
+bool State::MaySendWithKey(CallHandle call, TimePoint now) const {
+  if (!HasAccounts())
+    return true;
+  const CallState* known = m_parts->calls.Find(call);
+  return known != nullptr && !KeyRejection(*m_parts, *known, now).has_value();
 }
 
 AccountHandle State::FindAccount(std::string_view key) const {
@@ -151,13 +175,16 @@
 std::vector<Member> State::ServingMembers() const {
   std::vector<Member> result;
   const TimePoint now = m_parts->last_tick;
+  const bool keys_confirmed = AreKeysConfirmed(now);
   for (const Membership::Entry& entry : m_parts->members.All()) {
     const bool self = entry.member.name == m_parts->self.name;
-    const bool leaving = self ? m_parts->self.leaving : entry.member.leaving;
+    const bool leaving = self ? m_parts->self.leaving || !keys_confirmed : entry.member.leaving;
     const bool known = self || (m_parts->members.IsAlive(entry, now) && entry.member.incarnation != 0);
     if (known && !leaving)
       result.push_back(self ? m_parts->self : entry.member);
   }
+  if (result.empty() && !m_parts->self.leaving)
+    result.push_back(m_parts->self);
   return result;
 }
 
--- a/libs/core/src/state_parts.h
+++ b/libs/core/src/state_parts.h
@@ -13,6 +13,7 @@
 #include "endpoint_feed.h"
 #include "endpoint_table.h"
 #include "idempotency_table.h"
+#include "key_confirmation.h"
 #include "lists/caller_limits.h"
 #include "lists_tracker.h"
 #include "membership.h"
@@ -40,6 +41,8 @@
   ServiceState& At(ServiceHandle handle) { return services[handle.Index()]; }
   AccountState& At(AccountHandle handle) { return accounts[handle]; }
   EndpointState& At(EndpointHandle handle) { return endpoints[handle]; }
+  /** Whether calls of plans that are not public need an API key. */
+  bool HasAccounts() const { return !accounts.Empty() || lists.lack_accounts; }
   /** Epoch of the idempotency tokens that this instance issues at `now`. */
   uint32_t EpochAt(TimePoint now) const;
 
@@ -63,6 +66,7 @@
   Quarantine quarantine;
   RejectedCalls rejected_calls;
   ListsTracker lists;
+  KeyConfirmation keys;
   Membership members;
   RumorBoard rumors;
   RosterState roster;
--- a/libs/core/src/watchers.cc
+++ b/libs/core/src/watchers.cc
@@ -7,6 +7,7 @@
 #include "base/hash.h"
 #include "core/gossip_message.h"
 #include "gossip.h"
+#include "key_confirmation.h"
 #include "roster.h"
 #include "state_parts.h"
 
@@ -24,6 +25,8 @@
 constexpr milliseconds kMinQueryPeriod{500};
 /** Queries per second that one watcher gets in a large fleet, whose instances query less often. */
 constexpr double kQueriesPerWatcherPerSecond = 40.0;
+/** Longest time between queries while API keys are honored only with a recent confirmation. */
+constexpr milliseconds kMaxQueryPeriodForKeys{1'200};
 /** Longest time to wait for a reply. */
 constexpr milliseconds kReplyTimeout{250};
 /** Consecutive missed replies after which an instance polls the store. */
@@ -72,23 +75,29 @@
       effects.push_back(Effect::PollStore{});
   }
   const std::vector<const Membership::Entry*> candidates = SameDomainMembers(parts, now);
-  const auto pause = std::chrono::duration_cast<Duration>(
+  auto pause = std::chrono::duration_cast<Duration>(
       std::chrono::duration<double>(static_cast<double>(candidates.size()) /
                                     (kQueriesPerWatcherPerSecond * static_cast<double>(kWatchersPerDomain))));
+  if (NeedsKeyConfirmation(parts))
+    pause = std::min<Duration>(pause, kMaxQueryPeriodForKeys);
   watchers.next_query_at = now + std::max<Duration>(kMinQueryPeriod, pause);
   if (candidates.empty())
     return;
   const Membership::Entry& watcher = RandomWatcher(parts, candidates);
   watchers.pending_query = parts.random();
   watchers.query_sent_at = now;
+  watchers.query_sent_boot_time = BootTime(parts, now);
   QueryPeer(parts, watcher.member.peer_address, watchers.pending_query, now, effects);
 }
 
-void OnWatcherReply(StateParts& parts, const GossipMessage& message) {
-  if (message.reply_to == 0 || message.reply_to != parts.watchers.pending_query)
+void OnWatcherReply(StateParts& parts, const GossipMessage& message, TimePoint now) {
+  WatcherState& watchers = parts.watchers;
+  if (message.reply_to == 0 || message.reply_to != watchers.pending_query)
     return;
-  parts.watchers.pending_query = 0;
-  parts.watchers.missed_replies = 0;
+  watchers.pending_query = 0;
+  watchers.missed_replies = 0;
+  watchers.last_reply_at = now;
+  ConfirmKeysFromReply(parts, message, watchers.query_sent_boot_time, now);
 }
 
 TimePoint NextWatcherCheckTime(const StateParts& parts) {
--- a/libs/core/src/watchers.h
+++ b/libs/core/src/watchers.h
@@ -26,7 +26,7 @@
 void CheckWatchers(StateParts& parts, TimePoint now, Effects& effects);
 
 /** Handles the reply of a watcher; ignores other messages. */
-void OnWatcherReply(StateParts& parts, const GossipMessage& message);
+void OnWatcherReply(StateParts& parts, const GossipMessage& message, TimePoint now);
 
 /** When CheckWatchers() next has work to do; TimePoint::max() if no check is needed, as in a watcher. */
 TimePoint NextWatcherCheckTime(const StateParts& parts);
--- a/libs/core/tests/fleet_fuzz_test.cc
+++ b/libs/core/tests/fleet_fuzz_test.cc
@@ -180,29 +180,58 @@
   }
 };
 
+/** Checks the guarantees in a random sequence of failures; returns the hash over all effects. */
+uint64_t CheckRandomFailures(bool with_keys) {
+  const auto seed = *rc::gen::inRange<uint64_t>(1, 1'000'000);
+  auto simulation = std::make_unique<PlatformFleetSimulation>(seed, with_keys);
+  rc::state::check(Model(), *simulation,
+                   rc::state::gen::execOneOfWithArgs<
+                       SendCalls, SendCalls, SendCalls, SendCalls, DisconnectCaller, PauseInstance, ResumeInstance,
+                       ResumeInstance, KillInstance, RestartInstance, RestartInstance, RestartAllInstances,
+                       StopInstance, IsolateInstance, ChangeStoreMode, ChangeStoreMode, TakeStoreDown, BringStoreUp,
+                       BringStoreUp, RestoreStore, ChangeReadLag, CompactStoreHistory, MoveRoute, MoveRoute,
+                       DrainEndpoint, LeaveWithoutNotice, HoldOffRequests, CrashEndpoint, StartEndpoint, StartEndpoint,
+                       RestartEndpoint, WriteDamagedEntry, LoseAnswers, ChangeGossipDropRate, LongDelay, LongDelay>());
+  simulation->RecoverAndCheck();
+  RC_ASSERT(simulation->FirstViolation() == std::string());
+  return simulation->EffectsHash();
+}
+
 TEST_CASE("fleet on the users' platform keeps its promises under failures") {
   uint64_t digest = 0;
-  const bool passed = rc::check("no guarantee is violated on the platform", [&digest] {
-    const auto seed = *rc::gen::inRange<uint64_t>(1, 1'000'000);
-    auto simulation = std::make_unique<PlatformFleetSimulation>(seed);
-    rc::state::check(
-        Model(), *simulation,
-        rc::state::gen::execOneOfWithArgs<
-            SendCalls, SendCalls, SendCalls, SendCalls, DisconnectCaller, PauseInstance, ResumeInstance, ResumeInstance,
-            KillInstance, RestartInstance, RestartInstance, RestartAllInstances, StopInstance, IsolateInstance,
-            ChangeStoreMode, ChangeStoreMode, TakeStoreDown, BringStoreUp, BringStoreUp, RestoreStore, ChangeReadLag,
-            CompactStoreHistory, MoveRoute, MoveRoute, DrainEndpoint, LeaveWithoutNotice, HoldOffRequests,
-            CrashEndpoint, StartEndpoint, StartEndpoint, RestartEndpoint, WriteDamagedEntry, LoseAnswers,
-            ChangeGossipDropRate, LongDelay, LongDelay>());
-    simulation->RecoverAndCheck();
-    digest = HashCombine(digest, simulation->EffectsHash());
-    RC_ASSERT(simulation->FirstViolation() == std::string());
-  });
+  const bool passed = rc::check("no guarantee is violated on the platform",
+                                [&digest] { digest = HashCombine(digest, CheckRandomFailures(false)); });
   // The test "core_repeats" compares the digests of two processes.
   MESSAGE("effects digest of the platform fleet: " << digest);
   CHECK(passed);
 }
 
+// Guards against a removed key that works on in an instance which was frozen, cut off, restarted or fed by a stale
+// peer, and against instances that honor no key any more after such failures.
+TEST_CASE("fleet on the users' platform honors no removed key under failures") {
+  CHECK(rc::check("no removed key is used for long", [] { CheckRandomFailures(true); }));
+}
+
+// Guards against keyed calls that are rejected for want of a confirmation although nothing fails.
+TEST_CASE("a calm fleet on the platform confirms keys all the time and asks the store seldom") {
+  PlatformFleetSimulation simulation(1, true);
+  const size_t store_calls_before = simulation.StoreCallCount();
+  for (int second = 0; second < 20; ++second) {
+    for (size_t i = 0; i < PlatformFleetSimulation::kInstances; ++i) {
+      CHECK(simulation.StateOf(i).KeyConfirmationAge(simulation.Now()) < Millis(3'000));
+      // Two of three calls carry a valid key.
+      for (int call = 0; call < 3; ++call)
+        simulation.SendCall(i, true);
+    }
+    simulation.Advance(Millis(1'000));
+  }
+  CHECK(simulation.StoreCallCount() - store_calls_before < 160);
+  simulation.RecoverAndCheck();
+  CHECK(simulation.FirstViolation() == std::string());
+  // In the first generation there is no removed key, and "k0" stands for none.
+  CHECK(simulation.AnsweredCount() * 3 == simulation.CallCount() * 2);
+}
+
 /** Sends a call to every running instance every 50 ms for `time`. */
 void SendFor(PlatformFleetSimulation& simulation, Millis time) {
   constexpr Millis kStep{50};
--- a/libs/core/tests/platform_fleet_simulation.cc
+++ b/libs/core/tests/platform_fleet_simulation.cc
@@ -5,6 +5,7 @@
 
 #include <fmt/format.h>
 
+#include "base/hash.h"
 #include "core/reducer.h"
 #include "core/state_options.h"
 
@@ -17,6 +18,11 @@
 constexpr Millis kMaxLeavingNoticeDelay{2'000};
 /** Maximum time, as the users require, from the store's acknowledgement of a generation until it is applied. */
 constexpr Millis kMaxListsDelay{2'000};
+/** Time, as the users require, from the store's acknowledgement that a key is removed until it has no effect. */
+constexpr Millis kKeyRevocationLimit{5'000};
+/** The part of it in which instances may send requests with the key, and the longest time that a request travels. */
+constexpr Millis kMaxKeyUse{4'000};
+constexpr Millis kMaxRequestTravel{10};
 /** Time without failures after which the two bounds above apply. */
 constexpr Millis kUndisturbedTime{3'000};
 /** Time from the end of an endpoint's entry until another endpoint may use its address. */
@@ -35,8 +41,12 @@
 
 }  // namespace
 
-PlatformFleetSimulation::PlatformFleetSimulation(uint64_t seed)
-    : m_random(seed), m_now(std::chrono::hours(1)), m_store(m_now), m_generations_acknowledged_at(2, m_now) {
+PlatformFleetSimulation::PlatformFleetSimulation(uint64_t seed, bool with_keys)
+    : m_random(seed),
+      m_with_keys(with_keys),
+      m_now(std::chrono::hours(1)),
+      m_store(m_now),
+      m_generations_acknowledged_at(2, m_now) {
   for (size_t address = 0; address < kAddresses - 2; ++address)
     StartEndpoint(address, address % 2 == 1);
   for (size_t i = 0; i < kInstances; ++i)
@@ -63,6 +73,7 @@
   options.ask_first = true;
   options.probing = false;
   options.seed_peers = {"p0", "p1", "p2"};
+  options.key_revocation_limit = m_with_keys ? kKeyRevocationLimit : Millis(0);
   Instance& instance = m_instances[index];
   const bool isolated = instance.isolated;
   const StoreMode mode = instance.store_mode;
@@ -141,15 +152,23 @@
   call.incarnation = m_instances[index].incarnation;
   call.ticket = ++m_last_ticket;
   call.sent_at = m_now;
+  // One of the two valid keys, or the one that was removed last.
+  if (m_with_keys)
+    call.key = m_store.Latest().generation + 1 - number % 3;
   m_calls_by_ticket[{index, call.ticket}] = number;
   m_calls.push_back(call);
   Event::CallArrived event;
   event.ticket = call.ticket;
   event.fingerprint = number + 1;
   event.time_left = kCallDeadline;
-  DeliverEvent(index, call.incarnation, [this, event, index, repeat_safe]() mutable -> Event::Any {
+  DeliverEvent(index, call.incarnation, [this, event, index, repeat_safe, key = call.key]() mutable -> Event::Any {
     event.now = m_now;
     event.plan = m_instances[index].state->FindPlan("", repeat_safe ? "GET" : "POST", "/");
+    if (key > 0) {
+      const std::string text = fmt::format("k{}", key);
+      event.account = m_instances[index].state->FindAccount(text);
+      event.api_key_hash = Hash64(text);
+    }
     return event;
   });
   return number;
@@ -427,7 +446,18 @@
         fmt::format("{} ms: {}", std::chrono::duration_cast<Millis>(m_now.time_since_epoch()).count(), what);
 }
 
+void PlatformFleetSimulation::CheckKey(const CallRecord& call) {
+  const uint64_t without_key = call.key + 1;
+  if (call.key == 0 || without_key >= m_generations_acknowledged_at.size())
+    return;
+  const Duration used_for = m_now - m_generations_acknowledged_at[without_key];
+  if (used_for > kMaxKeyUse + kMaxRequestTravel)
+    ReportViolation(fmt::format("i{} sent a call {} ms after its key was removed", call.instance,
+                                std::chrono::duration_cast<Millis>(used_for).count()));
+}
+
 void PlatformFleetSimulation::CheckRun(const FakeEndpoint& endpoint, const CallRecord& call) {
+  CheckKey(call);
   if (!call.repeat_safe && call.runs > 1)
     ReportViolation(fmt::format("a call that must not be repeated ran {} times", call.runs));
   if (call.reject_reason.has_value() && InfoOf(*call.reject_reason).outcome == Outcome::kNotRun)
@@ -497,6 +527,8 @@
     if (instance.state->CallsInProgress() > 0)
       ReportViolation(fmt::format("i{} has calls in progress that never ended", i));
     CheckNoFalseLeavingMarks(i);
+    if (!instance.state->AreKeysConfirmed(m_now))
+      ReportViolation(fmt::format("i{} does not confirm keys", i));
     std::map<std::string, bool> known;
     for (const EndpointChange& endpoint : instance.state->KnownEndpoints())
       known[endpoint.row.name] = endpoint.kind == EndpointChange::Kind::kLeaving;
--- a/libs/core/tests/platform_fleet_simulation.h
+++ b/libs/core/tests/platform_fleet_simulation.h
@@ -40,7 +40,11 @@
   static constexpr Millis kCallDeadline{1'500};
   static constexpr Millis kHoldOffDuration{1'500};
 
-  explicit PlatformFleetSimulation(uint64_t seed);
+  /**
+   * @param with_keys  whether calls carry the API keys of an account, which has the keys "k2" and "k3" in generation 2
+   *                   and so on, and each removed key must soon have no effect
+   */
+  explicit PlatformFleetSimulation(uint64_t seed, bool with_keys = false);
   ~PlatformFleetSimulation();
 
   void Advance(Millis time);
@@ -108,6 +112,7 @@
   bool IsPaused(size_t instance) const { return m_instances[instance].paused; }
   bool IsEndpointUp(size_t address) const { return m_endpoints[address].up; }
   const State& StateOf(size_t instance) const { return *m_instances[instance].state; }
+  TimePoint Now() const { return m_now; }
   size_t CallCount() const { return m_calls.size(); }
   size_t AnsweredCount() const;
   /** Number of requests to the store, whatever the cost of each. */
@@ -171,6 +176,8 @@
     bool answered = false;
     std::optional<Reason> reject_reason;
     size_t runs = 0;
+    /** Number of the API key that the call carries; 0 for none. */
+    uint64_t key = 0;
   };
   struct ScheduledAction {
     TimePoint at;
@@ -244,7 +251,13 @@
   void ReportViolation(const std::string& what);
   int InstanceByPeerAddress(const std::string& address) const;
 
+  /** Reports a violation if the API key of the call was removed too long ago. */
+  void CheckKey(const CallRecord& call);
+  /** Longest time that one watch request waits for a change. */
+  Millis MaxWatchWait() const { return m_with_keys ? Millis(700) : Millis(2'200); }
+
   std::mt19937_64 m_random;
+  bool m_with_keys;
   TimePoint m_now;
   std::priority_queue<ScheduledAction> m_scheduled;
   uint64_t m_last_sequence = 0;
--- a/libs/core/tests/platform_fleet_simulation_effects.cc
+++ b/libs/core/tests/platform_fleet_simulation_effects.cc
@@ -15,8 +15,6 @@
 constexpr Millis kServiceTimeSpan{120};
 /** Time after which a call to a store that does not reply fails. */
 constexpr Millis kStoreTimeout{900};
-/** Longest time that one watch request waits for a change. */
-constexpr Millis kMaxWatchWait{2'200};
 /** Time after which a refused watch request is repeated. */
 constexpr Millis kWatchRetryDelay{400};
 constexpr size_t kEndpointSlots = 6;
@@ -47,6 +45,12 @@
     plan.service = repeat_safe && generation % 2 == 1 ? "s" : "t";
     lists->plans.push_back(plan);
   }
+  if (m_with_keys) {
+    Account account;
+    account.name = "account";
+    account.keys = {fmt::format("k{}", generation), fmt::format("k{}", generation + 1)};
+    lists->accounts.push_back(account);
+  }
   return lists;
 }
 
@@ -70,14 +74,16 @@
 
 void PlatformFleetSimulation::HandleEffect(size_t index, const Effect::PollStore& effect) {
   const uint64_t incarnation = m_instances[index].incarnation;
-  const auto on_answer = [=, this] {
+  const auto on_answer = [=, this, started_at = m_now] {
     const uint64_t generation = (effect.may_lag ? m_store.SnapshotAt(m_now, m_read_lag) : m_store.Latest()).generation;
     DeliverEvent(index, incarnation, [=, this]() -> Event::Any {
       return Event::ListsReceived{m_now, generation, MakeLists(generation)};
     });
     if (effect.may_lag)
       return;
-    DeliverEvent(index, incarnation, [=, this]() -> Event::Any { return Event::StoreConfirmed{m_now, generation}; });
+    DeliverEvent(index, incarnation, [=, this]() -> Event::Any {
+      return Event::StoreConfirmed{m_now, generation, started_at};
+    });
   };
   CallStore(index, on_answer, [] {});
 }
@@ -91,10 +97,10 @@
     return;
   if (instance.store_mode != StoreMode::kAnswers) {
     const Duration wait =
-        instance.store_mode == StoreMode::kSilent ? Duration(kMaxWatchWait) : Duration(kWatchRetryDelay);
+        instance.store_mode == StoreMode::kSilent ? Duration(MaxWatchWait()) : Duration(kWatchRetryDelay);
     RunAfter(wait, [=, this] {
       DeliverStoreRead(index, incarnation, m_instances[index].store_mode == StoreMode::kAnswers);
-      ContinueWatch(index, incarnation, generation, m_now + kMaxWatchWait);
+      ContinueWatch(index, incarnation, generation, m_now + MaxWatchWait());
     });
     return;
   }
@@ -106,10 +112,13 @@
   DeliverEvent(index, incarnation, [=, this]() -> Event::Any {
     return Event::ListsReceived{m_now, latest, MakeLists(latest)};
   });
-  DeliverEvent(index, incarnation, [=, this]() -> Event::Any { return Event::StoreConfirmed{m_now, latest}; });
+  const TimePoint started_at = wait_until - MaxWatchWait();
+  DeliverEvent(index, incarnation, [=, this]() -> Event::Any {
+    return Event::StoreConfirmed{m_now, latest, started_at};
+  });
   ++m_store_call_count;
   DeliverStoreRead(index, incarnation, true);
-  RunAfter(NetworkDelay(), [=, this] { ContinueWatch(index, incarnation, latest, m_now + kMaxWatchWait); });
+  RunAfter(NetworkDelay(), [=, this] { ContinueWatch(index, incarnation, latest, m_now + MaxWatchWait()); });
 }
 
 void PlatformFleetSimulation::HandleEffect(size_t index, const Effect::WatchStore& effect) {
@@ -118,7 +127,7 @@
   instance.watching = effect.on;
   if (starts)
     RunAfter(NetworkDelay(), [this, index, incarnation = instance.incarnation] {
-      ContinueWatch(index, incarnation, 0, m_now + kMaxWatchWait);
+      ContinueWatch(index, incarnation, 0, m_now + MaxWatchWait());
     });
 }
 
