Entry: API keys are read, replaced by the account's name and never forwarded; reads record their start

The reducer gets the account of each call, and confirmations count from the start of reads and watches, in a time that includes suspensions of the machine. A watch that finds a configuration which cannot be decoded confirms nothing. 429 answers say when to send the request again, as 503 answers do, and 401 answers name the scheme.

--- a/libs/base/include/base/clock.h
+++ b/libs/base/include/base/clock.h
@@ -16,6 +16,8 @@
  public:
   virtual ~Clock() = default;
   virtual TimePoint Now() const = 0;
+  /** Time for which the machine has been suspended since its start; Now() stood still then. */
+  virtual Duration TimeSuspended() const { return {}; }
 };
 
 }  // namespace sassafras
--- a/libs/base/include/base/system_clock.h
+++ b/libs/base/include/base/system_clock.h
@@ -8,6 +8,7 @@
 class SystemClock final : public Clock {
  public:
   TimePoint Now() const override { return std::chrono::steady_clock::now(); }
+  Duration TimeSuspended() const override;
 };
 
 }  // namespace sassafras
--- a/libs/entry/include/entry/http_dialect.h
+++ b/libs/entry/include/entry/http_dialect.h
@@ -47,6 +47,14 @@
                                  std::string_view endpoint_name,
                                  std::string_view endpoint_address,
                                  std::chrono::milliseconds time_left) const = 0;
+  /**
+   * Returns the API key that a request carries; empty if there is none, or if it is not one that can be told for sure.
+   * The key must never be logged, shown or forwarded.
+   */
+  virtual std::string_view ReadApiKey(const Fields& fields) const = 0;
+  /** Removes the API key and what the caller says of its account, and names the account to the endpoint unless empty.
+   */
+  virtual void SetAccount(RequestHead& head, std::string_view account_name) const = 0;
   /** Classifies a response received after sending `request`. */
   virtual ResponseKind Classify(const RequestHead& request, const ResponseHead& response) const = 0;
   /** Whether a response body may be delimited by the end of the connection; if not, it counts as malformed. */
--- a/libs/entry/include/entry/native_dialect.h
+++ b/libs/entry/include/entry/native_dialect.h
@@ -14,6 +14,8 @@
                          std::string_view endpoint_name,
                          std::string_view endpoint_address,
                          std::chrono::milliseconds time_left) const override;
+  std::string_view ReadApiKey(const Fields& fields) const override;
+  void SetAccount(RequestHead& head, std::string_view account_name) const override;
   ResponseKind Classify(const RequestHead& request, const ResponseHead& response) const override;
   bool AllowsCloseDelimitedBody() const override { return false; }
   LoadReport ReadLoad(const ResponseHead& response) const override;
--- a/libs/entry/src/attempt.cc
+++ b/libs/entry/src/attempt.cc
@@ -137,10 +137,12 @@
   co_return true;
 }
 
-bool Attempt::MaySend() const {
+bool Attempt::MaySend() {
+  m_engine.NoticeSuspension();
   const TimePoint now = m_engine.Now();
   const State& state = m_engine.GetState();
-  return now < m_target.deadline && state.AcceptsCalls(m_target.endpoint) && !state.IsHeldOff(m_target.endpoint, now);
+  return now < m_target.deadline && state.AcceptsCalls(m_target.endpoint) && !state.IsHeldOff(m_target.endpoint, now) &&
+         state.MaySendWithKey(m_exchange.Call(), now);
 }
 
 asio::awaitable<error_code> Attempt::SendRequest() {
@@ -148,6 +150,7 @@
   RemoveHopByHopHeaders(head);
   head.version(11);
   head.erase(http::field::expect);
+  m_exchange.SetAccount(head);
   m_dialect.SetAttemptHeaders(head, m_target.name, m_target.address, TimeLeft(m_target.deadline, m_engine.Now()));
   if (!m_exchange.BodyComplete())
     co_return co_await SendStreamedBody(http::request<http::buffer_body>(std::move(head)));
@@ -171,6 +174,12 @@
     request.body().data = relay_buffer.empty() ? nullptr : relay_buffer.data();
     request.body().size = relay_buffer.size();
     request.body().more = !parser.is_done();
+    // A request whose key is revoked while its body arrives must not be completed. Closing the connection lets the
+    // endpoint see that it is truncated.
+    if (!m_engine.GetState().MaySendWithKey(m_exchange.Call(), m_engine.Now())) {
+      Cancel();
+      co_return asio::error::operation_aborted;
+    }
     co_await http::async_write(m_connection->stream, serializer, AwaitWithError(error));
     if (error == http::error::need_buffer)
       error = {};
--- a/libs/entry/src/attempt.h
+++ b/libs/entry/src/attempt.h
@@ -32,7 +32,7 @@
 
   asio::awaitable<AttemptResult> SendAndReceive();
   asio::awaitable<bool> Connect();
-  bool MaySend() const;
+  bool MaySend();
   asio::awaitable<error_code> SendRequest();
   asio::awaitable<error_code> SendStreamedBody(http::request<http::buffer_body> request);
   asio::awaitable<error_code> ReadResponseHead();
--- a/libs/entry/src/call_exchange.cc
+++ b/libs/entry/src/call_exchange.cc
@@ -7,6 +7,7 @@
 #include <boost/asio/detached.hpp>
 
 #include "attempt.h"
+#include "base/hash.h"
 #include "engine.h"
 #include "entry/http_dialect.h"
 #include "lists/endpoint.h"
@@ -46,17 +47,26 @@
                           const Idempotency& idempotency) {
   m_plan = plan;
   m_repeat_safe = plan.IsValid() && m_engine.GetState().PlanConfig(plan).repeat == Repeat::kSafe;
+  const State& state = m_engine.GetState();
+  const std::string_view api_key = state.HasAccounts() ? m_dialect.ReadApiKey(Head()) : std::string_view();
+  const AccountHandle account = api_key.empty() ? AccountHandle() : state.FindAccount(api_key);
+  m_log.SetAccount(account);
   m_ticket = m_engine.Register(*this);
   Event::CallArrived event;
   m_submitted_at = m_engine.Now();
   event.now = m_submitted_at;
   event.ticket = m_ticket;
   event.plan = plan;
+  event.account = account;
+  event.api_key_hash = api_key.empty() ? 0 : Hash64(api_key);
   event.received_at = received_at;
   event.time_left = time_left;
   event.fingerprint = fingerprint;
   event.replayable = BodyComplete();
   event.idempotency = idempotency;
+  // Accounts may choose the same idempotency keys.
+  if (account.IsValid())
+    event.idempotency.key_high = HashCombine(idempotency.key_high, Hash64(state.AccountName(account)));
   m_engine.Post(std::move(event));
 }
 
@@ -131,6 +141,16 @@
   m_engine.Post(std::move(ended));
 }
 
+void CallExchange::SetAccount(http::request_header<>& head) const {
+  const State& state = m_engine.GetState();
+  if (!state.HasAccounts())
+    return;
+  const std::string_view api_key = m_dialect.ReadApiKey(Head());
+  const AccountHandle account =
+      api_key.empty() || !state.AreKeysConfirmed(m_engine.Now()) ? AccountHandle() : state.FindAccount(api_key);
+  m_dialect.SetAccount(head, account.IsValid() ? state.AccountName(account) : std::string_view());
+}
+
 void CallExchange::OnDispatch(const Effect::Dispatch& dispatch) {
   AttemptTarget target;
   target.endpoint = dispatch.endpoint;
--- a/libs/entry/src/call_exchange.h
+++ b/libs/entry/src/call_exchange.h
@@ -93,6 +93,12 @@
   /** Reports the end of an attempt to the reducer. */
   void ReportAttemptEnd(const Attempt& attempt, Event::AttemptEnded ended);
   void Complete(Completion completion);
+  CallHandle Call() const { return m_call; }
+  /**
+   * Removes the API key and the caller's account headers from the head of an attempt, and sets the name of the account;
+   * without accounts in the lists, leaves the head unchanged. A key that may have been revoked names no account.
+   */
+  void SetAccount(http::request_header<>& head) const;
   bool HasRunningAttempts() const { return !m_attempts.empty(); }
   bool IsRepeatSafe() const { return m_repeat_safe; }
   bool ResponseStarted() const { return m_response_started; }
--- a/libs/entry/src/call_log.h
+++ b/libs/entry/src/call_log.h
@@ -6,6 +6,7 @@
 #include <string_view>
 
 #include "base/clock.h"
+#include "base/handle.h"
 #include "core/dispatch_basis.h"
 #include "core/effect.h"
 #include "core/event.h"
@@ -30,6 +31,8 @@
 /** Collects the attempts of one call and writes the call's log line. */
 class CallLog {
  public:
+  /** Names the client account of the call; an invalid handle if it has none. */
+  void SetAccount(AccountHandle account) { m_account = account; }
   /** Adds the start of an attempt and the data on which its endpoint was chosen. */
   void AddAttempt(std::string_view endpoint, const DispatchBasis& basis);
   /** Adds the end of the attempt at an endpoint; `status` is 0 if no response head was read. */
@@ -59,6 +62,7 @@
              Duration elapsed,
              bool routine) const;
 
+  AccountHandle m_account;
   uint32_t m_attempt_count = 0;
   std::string m_trace;
 };
--- a/libs/entry/src/caller_session.cc
+++ b/libs/entry/src/caller_session.cc
@@ -36,6 +36,8 @@
 constexpr int kHttpVersionNotSupported = 505;
 constexpr int kNotImplemented = 501;
 constexpr uint16_t kServiceUnavailable = 503;
+constexpr uint16_t kTooManyRequests = 429;
+constexpr uint16_t kUnauthorized = 401;
 constexpr std::chrono::milliseconds kDefaultRetryAfter{1'000};
 constexpr uint16_t kRequestTimeout = 408;
 constexpr uint16_t kContentTooLarge = 413;
@@ -361,7 +363,9 @@
   m_dialect.CopyCorrelationHeaders(request.get(), response);
   if (!rejection.location.empty())
     response.set(http::field::location, rejection.location);
-  if (status == kServiceUnavailable) {
+  if (status == kUnauthorized)
+    response.set(http::field::www_authenticate, "Bearer");
+  if (status == kServiceUnavailable || status == kTooManyRequests) {
     const auto retry_after = rejection.retry_after.count() > 0 ? rejection.retry_after : kDefaultRetryAfter;
     const double seconds = std::chrono::duration<double>(retry_after).count();
     response.set(http::field::retry_after, fmt::format("{:.3f}", seconds));
--- a/libs/entry/src/engine.cc
+++ b/libs/entry/src/engine.cc
@@ -1,5 +1,6 @@
 #include "engine.h"
 
+#include <chrono>
 #include <type_traits>
 #include <utility>
 #include <variant>
@@ -13,7 +14,19 @@
 
 Engine::Engine(const StateOptions& options, const Clock& clock) : m_clock(clock), m_state(options) {}
 
+void Engine::NoticeSuspension() {
+  // The difference of two clocks that are read one after the other varies a little.
+  constexpr std::chrono::milliseconds kMinGrowth{2};
+  const Duration suspended = m_clock.TimeSuspended();
+  if (suspended - m_suspended < kMinGrowth)
+    return;
+  m_suspended = suspended;
+  Post(Event::SuspensionNoticed{m_clock.Now(), suspended});
+}
+
 void Engine::Post(Event::Any event) {
+  if (!m_executing && !std::holds_alternative<Event::SuspensionNoticed>(event))
+    NoticeSuspension();
   m_pending.push_back(std::move(event));
   if (m_executing)
     return;
--- a/libs/entry/src/engine.h
+++ b/libs/entry/src/engine.h
@@ -40,7 +40,12 @@
   uint64_t Register(CallSink& sink);
   void Unregister(uint64_t ticket) { m_sinks.erase(ticket); }
 
+  /** Tells the reducer if the machine has been suspended since the last event. */
+  void NoticeSuspension();
+
   TimePoint Now() const { return m_clock.Now(); }
+  /** Time that advances while the machine is suspended; to be compared only with other values of this function. */
+  TimePoint BootTime() const { return m_clock.Now() + m_clock.TimeSuspended(); }
   const Clock& GetClock() const { return m_clock; }
   const State& GetState() const { return m_state; }
   /**
@@ -62,6 +67,8 @@
   Effects m_effects;
   std::deque<Event::Any> m_pending;
   bool m_executing = false;
+  /** Time suspended that the reducer knows of. */
+  Duration m_suspended{};
   uint64_t m_last_ticket = 0;
   absl::flat_hash_map<uint64_t, CallSink*> m_sinks;
 };
--- a/libs/entry/src/entry_instance.cc
+++ b/libs/entry/src/entry_instance.cc
@@ -381,6 +381,8 @@
   set("sassafras_probes_withdrawn_total", m_prober.WithdrawnCount());
   set("sassafras_idempotency_records", state.RecordCount());
   set("sassafras_quarantined_requests", state.QuarantineCount());
+  set("sassafras_calls_rejected_for_keys_total", state.CallsRejectedForKeys());
+  set("sassafras_keys_confirmed_age_ms", static_cast<uint64_t>(state.KeyConfirmationAge(m_engine.Now()).count()));
   set("sassafras_table_bytes", state.TableBytes());
 }
 
--- a/libs/entry/src/fleet_link.cc
+++ b/libs/entry/src/fleet_link.cc
@@ -26,6 +26,8 @@
 
 /** How long one watch request waits for a change of the plans; its timeout confirms that there was none. */
 constexpr milliseconds kWatchTimeout{2'200};
+/** The same while API keys are honored only with a recent confirmation, whose age counts from the start of a watch. */
+constexpr milliseconds kWatchTimeoutForKeys{700};
 /** Timeout of a request for plans to a peer. */
 constexpr milliseconds kPeerRequestTimeout{500};
 /** Most bytes of plans from a peer. */
@@ -82,13 +84,17 @@
   m_engine.Post(Event::ListsReceived{m_engine.Now(), snapshot.generation, snapshot.lists});
 }
 
-void FleetLink::ProcessPlans(const PlansSnapshot& snapshot, ReadConsistency consistency) {
+void FleetLink::ProcessPlans(const PlansSnapshot& snapshot, ReadConsistency consistency, TimePoint started_at) {
   m_plans_as_of = std::max(m_plans_as_of, snapshot.as_of);
   if (snapshot.generation > m_engine.GetState().Generation())
     PutPlansInForce(snapshot, Deflate(snapshot.document),
                     consistency == ReadConsistency::kLinearizable ? "store" : "store, may lag");
-  if (consistency == ReadConsistency::kLinearizable)
-    m_engine.Post(Event::StoreConfirmed{m_engine.Now(), m_engine.GetState().Generation()});
+  if (consistency != ReadConsistency::kLinearizable)
+    return;
+  if (snapshot.is_unusable || snapshot.generation > 0)
+    m_stored_plans_unusable = snapshot.is_unusable;
+  m_engine.Post(Event::StoreConfirmed{m_engine.Now(), m_engine.GetState().Generation(),
+                                      m_stored_plans_unusable ? TimePoint() : started_at});
 }
 
 void FleetLink::OnEffect(const Effect::PollStore& effect) {
@@ -99,10 +105,11 @@
 }
 
 asio::awaitable<void> FleetLink::RunReadPlans(ReadConsistency consistency) {
+  const TimePoint started_at = m_engine.BootTime();
   const auto snapshot = co_await m_store->ReadPlans(consistency);
   RecordResult(snapshot.status());
   if (snapshot.ok())
-    ProcessPlans(*snapshot, consistency);
+    ProcessPlans(*snapshot, consistency, started_at);
   else if (m_store_reachable)
     Log(LogLevel::kError, "plans_unusable", {{"error", MessageOf(snapshot.status())}});
   m_reading_plans = false;
@@ -148,10 +155,11 @@
   // Asks a peer first: this puts no load on the platform and works even if the store refuses this instance.
   const bool fetched = co_await FetchPlansFromPeer(effect.peer_address);
   if (!fetched && effect.generation > m_engine.GetState().Generation()) {
+    const TimePoint started_at = m_engine.BootTime();
     const auto snapshot = co_await m_store->ReadPlans(ReadConsistency::kLinearizable);
     RecordResult(snapshot.status());
     if (snapshot.ok() && snapshot->generation > 0)
-      ProcessPlans(*snapshot, ReadConsistency::kLinearizable);
+      ProcessPlans(*snapshot, ReadConsistency::kLinearizable, started_at);
   }
   m_fetching_plans = false;
 }
@@ -226,6 +234,10 @@
   return std::nullopt;
 }
 
+milliseconds FleetLink::WatchTimeout() const {
+  return m_engine.GetState().NeedsKeyConfirmation() ? kWatchTimeoutForKeys : kWatchTimeout;
+}
+
 void FleetLink::OnEffect(const Effect::WatchStore& effect) {
   m_watch_enabled = effect.on;
   if (effect.on && !std::exchange(m_watch_running, true))
@@ -234,15 +246,16 @@
 
 asio::awaitable<void> FleetLink::RunWatch() {
   while (m_watch_enabled) {
+    const TimePoint started_at = m_engine.BootTime();
     absl::StatusOr<PlansSnapshot> snapshot = PlansSnapshot();
     if (m_plans_as_of == 0)
       snapshot = co_await m_store->ReadPlans(ReadConsistency::kLinearizable);
     else
-      snapshot = co_await m_store->WatchPlans(m_plans_as_of, kWatchTimeout);
+      snapshot = co_await m_store->WatchPlans(m_plans_as_of, WatchTimeout());
     RecordResult(snapshot.status());
     if (snapshot.ok() && snapshot->as_of > 0) {
       m_watch_failures = 0;
-      ProcessPlans(*snapshot, ReadConsistency::kLinearizable);
+      ProcessPlans(*snapshot, ReadConsistency::kLinearizable, started_at);
       continue;
     }
     co_await Sleep(StoreRetryDelay(m_watch_failures++));
--- a/libs/entry/src/fleet_link.h
+++ b/libs/entry/src/fleet_link.h
@@ -54,6 +54,7 @@
   boost::asio::awaitable<bool> FetchPlansFromPeer(std::string peer_address);
   /** Fetches the endpoints from a peer; false if it does not answer or its answer is unusable. */
   boost::asio::awaitable<bool> FetchEndpointsFromPeer(std::string peer_address, std::chrono::milliseconds limit);
+  std::chrono::milliseconds WatchTimeout() const;
   boost::asio::awaitable<void> RunWatch();
   boost::asio::awaitable<void> RunReadEndpoints(Effect::ReadEndpoints effect);
   boost::asio::awaitable<void> RunReadRoster();
@@ -61,7 +62,8 @@
   void ProcessRoster(absl::StatusOr<RosterSnapshot> roster, std::string_view log_event);
   boost::asio::awaitable<void> Sleep(Duration pause);
   void PutPlansInForce(const PlansSnapshot& snapshot, std::string compressed, std::string_view source);
-  void ProcessPlans(const PlansSnapshot& snapshot, ReadConsistency consistency);
+  /** @param started_at  Engine::BootTime() before the read */
+  void ProcessPlans(const PlansSnapshot& snapshot, ReadConsistency consistency, TimePoint started_at);
   /** Counts a store request, and tells the reducer whether the store answered it. */
   void RecordResult(const absl::Status& status);
 
@@ -76,6 +78,8 @@
   uint64_t m_plans_as_of = 0;
   /** Store revision of the roster last read or written by this instance. */
   uint64_t m_roster_revision = 0;
+  /** Whether the latest plans in the store could not be decoded, so that those in force may hold revoked API keys. */
+  bool m_stored_plans_unusable = false;
   uint32_t m_watch_failures = 0;
   bool m_reading_plans = false;
   bool m_fetching_plans = false;
--- a/libs/entry/src/native_dialect.cc
+++ b/libs/entry/src/native_dialect.cc
@@ -2,6 +2,7 @@
 
 #include <string>
 
+#include "entry/bearer_token.h"
 #include "entry/time_left.h"
 #include "request_parsing.h"
 #include "upstream_headers.h"
@@ -10,6 +11,8 @@
 namespace {
 
 constexpr std::string_view kRequestIdHeader = "Sassafras-Request-Id";
+/** Name of the client account whose API key the caller sent. */
+constexpr std::string_view kAccountHeader = "Sassafras-Account";
 
 }  // namespace
 
@@ -30,6 +33,17 @@
   head.set(kDeadlineHeader, std::to_string(time_left.count()));
 }
 
+std::string_view NativeDialect::ReadApiKey(const Fields& fields) const {
+  return ReadBearerToken(fields);
+}
+
+void NativeDialect::SetAccount(RequestHead& head, std::string_view account_name) const {
+  head.erase(http::field::authorization);
+  head.erase(kAccountHeader);
+  if (!account_name.empty())
+    head.set(kAccountHeader, account_name);
+}
+
 ResponseKind NativeDialect::Classify(const RequestHead& /*request*/, const ResponseHead& response) const {
   return IsRefusal(response) ? ResponseKind::kRefusal : ResponseKind::kMatching;
 }
--- a/libs/entry/src/platform_link.cc
+++ b/libs/entry/src/platform_link.cc
@@ -102,22 +102,24 @@
 }
 
 asio::awaitable<void> PlatformLink::PollLists() {
+  TimePoint started_at = m_engine.BootTime();
   auto revision = co_await m_store.ReadRevision();
   RecordResult(revision.status());
   if (!revision.ok())
     co_return;
   if (!revision->exists) {
-    m_engine.Post(Event::StoreConfirmed{m_engine.Now(), 0});
+    m_engine.Post(Event::StoreConfirmed{m_engine.Now(), 0, started_at});
     co_return;
   }
   if (revision->revision == m_stored_revision) {
-    m_engine.Post(Event::StoreConfirmed{m_engine.Now(), m_stored_generation});
+    m_engine.Post(Event::StoreConfirmed{m_engine.Now(), m_stored_generation, started_at});
     co_return;
   }
+  started_at = m_engine.BootTime();
   auto value = co_await m_store.Read();
   RecordResult(value.status());
   if (value.ok() && value->exists)
-    co_await ProcessDocument(std::move(value->value), value->revision);
+    co_await ProcessDocument(std::move(value->value), value->revision, started_at);
 }
 
 asio::awaitable<void> PlatformLink::PollDirectory() {
@@ -152,7 +154,7 @@
   m_engine.Post(std::move(event));
 }
 
-asio::awaitable<void> PlatformLink::ProcessDocument(std::string text, int64_t revision) {
+asio::awaitable<void> PlatformLink::ProcessDocument(std::string text, int64_t revision, TimePoint started_at) {
   ParsedDocument parsed;
   if (text == m_document) {
     parsed.generation = m_document_generation;
@@ -180,7 +182,7 @@
     co_return;
   m_stored_revision = revision;
   m_stored_generation = parsed.generation;
-  m_engine.Post(Event::StoreConfirmed{m_engine.Now(), parsed.generation});
+  m_engine.Post(Event::StoreConfirmed{m_engine.Now(), parsed.generation, started_at});
 }
 
 void PlatformLink::SetWatching(bool on) {
--- a/libs/entry/src/platform_link.h
+++ b/libs/entry/src/platform_link.h
@@ -76,7 +76,7 @@
    * Parses a document off the event loop and puts it into force if it is newer.
    * @param revision  store revision of the document, or 0 if a peer sent it
    */
-  boost::asio::awaitable<void> ProcessDocument(std::string text, int64_t revision);
+  boost::asio::awaitable<void> ProcessDocument(std::string text, int64_t revision, TimePoint started_at = {});
   boost::asio::awaitable<void> ProcessDelta(ListsDelta delta, std::string peer_address);
   void Fetch(const std::string& peer_address, bool whole);
   void PostDirectory(const DirectoryListing& listing);
--- a/libs/entry/tests/manual_clock.h
+++ b/libs/entry/tests/manual_clock.h
@@ -14,7 +14,10 @@
       m_now += m_pause;
     return m_now;
   }
+  Duration TimeSuspended() const override { return m_suspended; }
   void Advance(Duration time) { m_now += time; }
+  /** Suspends the machine for `time`, in which Now() stands still. */
+  void Suspend(Duration time) { m_suspended += time; }
   /** Lets the `read`-th reading from now on find `pause` gone by, as if the process had been paused before it. */
   void PauseBefore(size_t read, Duration pause) {
     m_reads_until_pause = read;
@@ -29,6 +32,7 @@
   mutable TimePoint m_now{std::chrono::hours(1)};
   mutable size_t m_reads_until_pause = 0;
   Duration m_pause{};
+  Duration m_suspended{};
 };
 
 }  // namespace sassafras
--- a/libs/entry/tests/request_bytes_check.cc
+++ b/libs/entry/tests/request_bytes_check.cc
@@ -49,9 +49,44 @@
   return found == part.size();
 }
 
+/** Whether the endpoint received no API key, and the name of the account "one" unless the route is public. */
+bool HasProperAccount(const http::request<http::string_body>& request) {
+  if (request.count(http::field::authorization) > 0)
+    return false;
+  const size_t names = request.count("Sassafras-Account");
+  if (names == 0)
+    return request.target().starts_with("/open/");
+  return names == 1 && request["Sassafras-Account"] == "one";
+}
+
+/** Like CheckRequestBytes(), for an instance with the account "one", which has the key "k". */
+std::string CheckAccounts(std::string_view bytes) {
+  static const NativeDialect dialect;
+  CallFixture fixture(dialect);
+  bool proper = true;
+  const auto answer = [&proper](asio::ip::tcp::socket& socket,
+                                const ScriptedEndpoint::Request& request) -> asio::awaitable<bool> {
+    proper = proper && HasProperAccount(request);
+    const bool written = co_await WriteBytes(socket, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+    co_return written;
+  };
+  fixture.AddEndpoint(answer);
+  Account account;
+  account.name = "one";
+  account.keys = {"k"};
+  fixture.Serve(Repeat::kNever, std::chrono::milliseconds(500), {account});
+  fixture.SendAll(std::string(bytes));
+  return proper ? "" : "an endpoint received a key, or an account that the caller does not prove to be";
+}
+
 }  // namespace
 
 std::string CheckRequestBytes(std::string_view bytes) {
+  // Most requests without a key would be rejected.
+  if (bytes.find("Bearer") != std::string_view::npos) {
+    if (std::string broken = CheckAccounts(bytes); !broken.empty())
+      return broken;
+  }
   static const NativeDialect dialect;
   CallFixture fixture(dialect);
   std::vector<RequestContent> received;
