--- a/libs/core/src/account_table.cc
+++ b/libs/core/src/account_table.cc
@@ -10,6 +10,7 @@
     account.config.keys.clear();
   }
   m_by_key.clear();
+  m_by_key_hash.clear();
   m_active_count = accounts.size();
   double rates = 0;
   double limited = 0;
@@ -21,8 +22,10 @@
     m_accounts[found->second.Index()] = {row, name_hash, true};
     rates += std::max(0.0, row.rate_per_second);
     limited += row.rate_per_second > 0 ? 1 : 0;
-    for (const std::string& key : row.keys)
+    for (const std::string& key : row.keys) {
       m_by_key.try_emplace(key, found->second);
+      m_by_key_hash.try_emplace(Hash64(key), found->second);
+    }
   }
   m_mean_rate = limited > 0 ? rates / limited : 1;
 }
@@ -38,6 +41,11 @@
   return found == m_by_key.end() ? AccountHandle() : found->second;
 }
 
+AccountHandle AccountTable::FindByKeyHash(uint64_t key_hash) const {
+  const auto found = m_by_key_hash.find(key_hash);
+  return found == m_by_key_hash.end() ? AccountHandle() : found->second;
+}
+
 AccountHandle AccountTable::FindByNameHash(uint64_t name_hash) const {
   const auto found = m_by_name.find(name_hash);
   return found == m_by_name.end() || !IsActive(found->second) ? AccountHandle() : found->second;
--- a/libs/core/src/dispatch.cc
+++ b/libs/core/src/dispatch.cc
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "call_end.h"
+#include "key_confirmation.h"
 #include "load_probing.h"
 #include "probe_results.h"
 #include "quota.h"
@@ -86,6 +87,8 @@
 
 void Dispatch(StateParts& parts, CallHandle handle, EndpointHandle endpoint, TimePoint now, Effects& effects) {
   CallState& call = *parts.calls.Find(handle);
+  if (call.attempts_outstanding == 0 && RejectIfKeyForbids(parts, handle, now, effects))
+    return;
   const PlanState& plan = parts.At(call.plan);
   EndpointState& state = parts.At(endpoint);
   if (state.in_flight == 0)
@@ -115,7 +118,9 @@
 
 bool Hedge(StateParts& parts, CallHandle handle, EndpointHandle endpoint, TimePoint now, Effects& effects) {
   CallState& call = *parts.calls.Find(handle);
-  if (!QuotaAllowsHedge(parts, call, now) || !parts.ServiceOf(call).hedge_budget.Spend(1.0))
+  if (KeyRejection(parts, call, now).has_value() || !QuotaAllowsHedge(parts, call, now))
+    return false;
+  if (!parts.ServiceOf(call).hedge_budget.Spend(1.0))
     return false;
   call.hedged = true;
   ++parts.At(call.plan).totals.hedges;
@@ -124,6 +129,9 @@
 }
 
 bool TryDispatch(StateParts& parts, CallHandle handle, TimePoint now, Effects& effects) {
+  // A call whose key has become invalid need not wait for an endpoint.
+  if (RejectIfKeyForbids(parts, handle, now, effects))
+    return true;
   CallState& call = *parts.calls.Find(handle);
   if (IsRevalidating(parts, now))
     return false;
--- a/libs/entry/src/log_record_writer.cc
+++ b/libs/entry/src/log_record_writer.cc
@@ -20,7 +20,7 @@
 };
 
 /** Indexed by LogRecord::Kind. */
-constexpr std::array<Row, 12> kRows = {{
+constexpr auto kRows = std::to_array<Row>({
     {LogRecord::Kind::kEndpointServing, LogLevel::kInfo, "endpoint_serving", "endpoint", "revision"},
     {LogRecord::Kind::kEndpointLeaving, LogLevel::kInfo, "endpoint_leaving", "endpoint", "revision"},
     {LogRecord::Kind::kEndpointGone, LogLevel::kInfo, "endpoint_gone", "endpoint", "revision"},
@@ -33,7 +33,9 @@
     {LogRecord::Kind::kNotWatching, LogLevel::kInfo, "not_watching", "instance", "members"},
     {LogRecord::Kind::kAccountOverQuota, LogLevel::kInfo, "account_over_quota", "account", "rejected"},
     {LogRecord::Kind::kAccountWithinQuota, LogLevel::kInfo, "account_within_quota", "account", "rejected"},
-}};
+    {LogRecord::Kind::kKeysNotConfirmed, LogLevel::kWarning, "keys_not_confirmed", "instance", "age_ms"},
+    {LogRecord::Kind::kKeysConfirmed, LogLevel::kInfo, "keys_confirmed", "instance", "age_ms"},
+});
 
 }  // namespace
 
