--- a/libs/core/include/core/event.h
+++ b/libs/core/include/core/event.h
@@ -83,6 +83,13 @@
     /** Whether the store may have returned stale data. */
     bool may_lag = false;
   };
+  /** The evacuated failure domains were read from the platform's store. */
+  struct EvacuationsReceived {
+    TimePoint now;
+    GossipMessage::Evacuations evacuations;
+    /** Whether the store may have returned stale data. */
+    bool may_lag = false;
+  };
   /** The roster of entry instances was read from the platform's store. */
   struct RosterReceived {
     TimePoint now;
@@ -193,6 +200,7 @@
                            StoreConfirmed,
                            DirectoryReceived,
                            EndpointsReceived,
+                           EvacuationsReceived,
                            RosterReceived,
                            StoreReadEnded,
                            GossipReceived,
--- a/libs/core/include/core/gossip_message.h
+++ b/libs/core/include/core/gossip_message.h
@@ -84,7 +84,10 @@
   /** Query id; if not 0, the receiver answers at once with all its rumors and this id in `reply_to`. */
   uint64_t ask = 0;
   uint64_t reply_to = 0;
-  /** Whether the receiver forwards the `endpoint_changes` that are new to it to the peers in its failure domain. */
+  /**
+   * Whether the receiver forwards the `endpoint_changes` and `evacuations` that are new to it to the peers in its
+   * failure domain.
+   */
   bool relay = false;
   /** Hash over the endpoints known to the sender. */
   uint64_t endpoints_digest = 0;
--- a/libs/core/include/core/load_report.h
+++ b/libs/core/include/core/load_report.h
@@ -2,6 +2,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <optional>
 
 namespace sassafras {
 
@@ -13,6 +14,8 @@
   bool draining = false;
   /** Time for which the endpoint wants no more requests from this instance; zero if it does not say. */
   std::chrono::milliseconds hold_off{};
+  /** How much longer the endpoint is in warm-up, zero if it is not; unset if it does not say. Only in probe answers. */
+  std::optional<std::chrono::milliseconds> warmup_left;
   /** Whether the endpoint reported itself unhealthy; it may be wrong. */
   bool unhealthy = false;
   /** Requests that the endpoint is running or has queued. */
--- a/libs/core/include/core/log_record.h
+++ b/libs/core/include/core/log_record.h
@@ -22,9 +22,13 @@
     kRequestQuarantined,
     kWatching,
     kNotWatching,
+    /** No requests may be sent to a failure domain any more, or they may again. */
+    kDomainEvacuated,
+    kEvacuationEnded,
   };
   Kind kind = Kind::kEndpointServing;
-  /** Name of an endpoint, of the first of several members or of this instance, or the fingerprint of a request. */
+  /** Name of an endpoint or failure domain, of the first of several members or of this instance, or the fingerprint of
+   * a request. */
   std::string subject;
   /** Revision of the store, incarnation or number of members, depending on `kind`; 0 if not applicable. */
   uint64_t version = 0;
@@ -32,6 +36,8 @@
   std::chrono::milliseconds lifetime{};
   /** Source of the information, such as "store", "peer" or "own calls". */
   const char* source = "";
+  /** Upper bound of the time since the source confirmed the information with the store; zero if it just did. */
+  std::chrono::milliseconds age{};
 };
 
 }  // namespace sassafras
--- a/libs/core/include/core/state.h
+++ b/libs/core/include/core/state.h
@@ -3,6 +3,7 @@
 #include <chrono>
 #include <cstdint>
 #include <memory>
+#include <string>
 #include <string_view>
 #include <vector>
 
@@ -69,8 +70,10 @@
   std::string_view ProbePath(EndpointHandle endpoint) const;
   /** Whether the endpoint is known to be leaving. */
   bool IsLeaving(EndpointHandle endpoint) const;
-  /** Whether calls may be sent to the endpoint: it is listed and not leaving. */
+  /** Whether calls may be sent to the endpoint: it is listed, not leaving and its failure domain not evacuated. */
   bool AcceptsCalls(EndpointHandle endpoint) const;
+  /** Whether the failure domain of the endpoint is evacuated, so that nothing may be sent there, not even probes. */
+  bool IsEvacuated(EndpointHandle endpoint) const;
   /** Whether the endpoint wants no requests from this instance at `now`, not even probes. */
   bool IsHeldOff(EndpointHandle endpoint, TimePoint now) const;
   /** Newest incarnation seen of the endpoint; 0 if unknown. */
@@ -98,6 +101,12 @@
   /** Number of probe seats held at `now`. */
   size_t SeatsHeld(TimePoint now) const;
   uint64_t ProbesSent() const;
+  /** Names of the evacuated failure domains, sorted. */
+  const std::vector<std::string>& EvacuatedDomains() const;
+  /** Revision of the platform's store as of which the evacuated failure domains are known; 0 before the first read. */
+  uint64_t EvacuationsAsOf() const;
+  /** How often an endpoint in warm-up was passed over for a call, because its limit was reached. */
+  uint64_t WarmupRefusals() const;
   size_t RecordCount() const;
   size_t QuarantineCount() const;
   /** Approximate size in bytes of the main tables, for capacity planning. */
--- a/libs/core/src/control.cc
+++ b/libs/core/src/control.cc
@@ -13,6 +13,7 @@
 #include "load_probing.h"
 #include "roster.h"
 #include "state_parts.h"
+#include "warmup_limit.h"
 #include "watchers.h"
 
 namespace sassafras {
@@ -154,6 +155,7 @@
     parts.largest_fleet = fleet;
     UpdateBudgets(parts);
   }
+  UpdateWarmupFleet(parts, now);
   parts.quarantine.Expire(now);
   parts.rumors.Expire(now);
   parts.records.Expire(parts.EpochAt(now));
@@ -191,8 +193,7 @@
   parts.lists.lack_plans = event.lists->has_unreadable_plans;
   parts.lists.lack_accounts = event.lists->has_unreadable_accounts;
   ApplyLists(parts, *event.lists, event.now);
-  if (!parts.options.discovery || parts.feed.as_of > 0)
-    StartServing(parts);
+  StartServing(parts);
   for (ServiceState& service : parts.services)
     DispatchWaiting(parts, service, event.now, effects);
   parts.gossip_pending = true;
@@ -201,7 +202,10 @@
 }
 
 void StartServing(StateParts& parts) {
-  if (parts.phase == Phase::kStarting)
+  // With discovery an instance that does not know which failure domains are evacuated would send requests to them.
+  const bool discovered = parts.feed.as_of > 0 && parts.evacuations.known.as_of > 0;
+  const bool ready = parts.lists.generation > 0 && (!parts.options.discovery || discovered);
+  if (parts.phase == Phase::kStarting && ready)
     parts.phase = Phase::kServing;
 }
 
@@ -253,6 +257,7 @@
 void OnProbeEnded(StateParts& parts, const Event::ProbeEnded& event, Effects& effects) {
   // A failed health check may still say that the endpoint is leaving or wants no requests.
   LearnFromLoadReport(parts, event.endpoint, event.load, event.now);
+  LearnWarmup(parts, event.endpoint, event.load, event.now);
   OnLoadProbeEnded(parts, event, effects);
 }
 
--- a/libs/core/src/control.h
+++ b/libs/core/src/control.h
@@ -21,7 +21,7 @@
 void OnProbeEnded(StateParts& parts, const Event::ProbeEnded& event, Effects& effects);
 void OnSeatGranted(StateParts& parts, const Event::SeatGranted& event, Effects& effects);
 void OnSeatRefused(StateParts& parts, const Event::SeatRefused& event, Effects& effects);
-/** Moves a starting instance to Phase::kServing. */
+/** Moves a starting instance to Phase::kServing if it knows all that it needs to serve. */
 void StartServing(StateParts& parts);
 void OnTick(StateParts& parts, const Event::Tick& event, Effects& effects);
 void OnSettingsChanged(StateParts& parts, const Event::SettingsChanged& event);
--- a/libs/core/src/discovery.cc
+++ b/libs/core/src/discovery.cc
@@ -181,7 +181,7 @@
   const bool complete = event.whole && !event.from_peer && !event.may_lag;
   if (complete && event.now >= feed.rereads_at)
     feed.rereads_at = TimePoint::max();
-  if (first && parts.lists.generation > 0)
+  if (first)
     StartServing(parts);
   if (new_changes.empty())
     return;
--- a/libs/core/src/dispatch.cc
+++ b/libs/core/src/dispatch.cc
@@ -88,6 +88,7 @@
   EndpointState& state = parts.At(endpoint);
   if (state.in_flight == 0)
     state.progress_at = now;
+  state.dispatched_at = now;
   ++state.in_flight;
   call.tried[call.attempts] = endpoint;
   call.dispatched_at[call.attempts] = now;
--- a/libs/core/src/endpoint_feed.cc
+++ b/libs/core/src/endpoint_feed.cc
@@ -16,6 +16,8 @@
 
 /** Time after a restore in which the store may list endpoints that have ended: until their entries expire. */
 constexpr std::chrono::seconds kOutdatedEntryLifetime{6};
+/** Difference between two statements of the end of a warm-up up to which they mean the same. */
+constexpr std::chrono::seconds kWarmupTolerance{2};
 
 uint64_t HashOf(const EndpointChange& change) {
   const uint64_t kind = Hash64(change.row.address, static_cast<uint64_t>(change.kind));
@@ -72,6 +74,15 @@
   return known.change.kind == EndpointChange::Kind::kGone && source == Source::kListing && listed_long_ago;
 }
 
+bool EndpointFeed::UpdateWarmup(KnownEndpoint& known, const EndpointChange& change, TimePoint now) {
+  const TimePoint end = now + change.warmup;
+  const TimePoint before = std::max(known.warmup_until, now);
+  known.warmup_until = end;
+  known.warmup_reported_at = now;
+  // Endpoints renew their entries all the time. The same end of a warm-up, stated anew, is no news.
+  return end > before + kWarmupTolerance || before > end + kWarmupTolerance;
+}
+
 bool EndpointFeed::Apply(const EndpointChange& change, Source source, Duration removal_delay, TimePoint now) {
   const bool gone = change.kind == EndpointChange::Kind::kGone;
   const auto found = m_known.find(change.row.name);
@@ -93,7 +104,7 @@
   known.refused_revision = 0;
   if (!is_new && HasSameContent(known.change, change) && known.gone_at == TimePoint::max()) {
     known.change.revision = change.revision;
-    return false;
+    return UpdateWarmup(known, change, now);
   }
   if (!is_new && gone && known.gone_at != TimePoint::max())
     return false;
@@ -118,7 +129,7 @@
   known.gone_at = gone ? now : TimePoint::max();
   if (gone)
     m_next_expiry = std::min(m_next_expiry, now + kGoneEntryRetention);
-  known.warmup_until = now + change.warmup;
+  UpdateWarmup(known, change, now);
   ToggleInDigest(known.change);
   return true;
 }
--- a/libs/core/src/endpoint_feed.h
+++ b/libs/core/src/endpoint_feed.h
@@ -20,6 +20,8 @@
   struct KnownEndpoint {
     EndpointChange change;
     TimePoint warmup_until{};
+    /** When the entry that states `warmup_until` was received. */
+    TimePoint warmup_reported_at{};
     /** Time until which an endpoint that is no longer listed is still used; max() while it is listed. */
     TimePoint gone_at = TimePoint::max();
     /** Revision at which the endpoint was no longer listed, and the last one at which it is known to have been. */
@@ -92,6 +94,8 @@
 
  private:
   void ToggleInDigest(const EndpointChange& change);
+  /** Takes over the warm-up that an entry states; returns whether it differs from what was known. */
+  static bool UpdateWarmup(KnownEndpoint& known, const EndpointChange& change, TimePoint now);
   /** Whether `change` is an entry that a restored store lists although the endpoint has left or is leaving since. */
   bool IsOutdatedEntry(const KnownEndpoint& known, const EndpointChange& change, Source source, TimePoint now) const;
 
--- a/libs/core/src/endpoint_state.h
+++ b/libs/core/src/endpoint_state.h
@@ -39,6 +39,12 @@
   /** Whether calls with long work may be sent here. */
   bool accepts_long_work = false;
   bool same_failure_domain = false;
+  /** Whether the endpoint's failure domain is evacuated, so that nothing may be sent there. */
+  bool evacuated = false;
+  /** Whether this instance is one of the few that may use the endpoint in warm-up. */
+  bool may_use_in_warmup = false;
+  /** Whether this incarnation of the endpoint has stated its warm-up in a probe answer. */
+  bool states_warmup = false;
   ServiceHandle service;
   TimePoint reported_at{};
   /** Time of the last answer or refusal, or of the dispatch that ended an idle period. */
@@ -50,6 +56,10 @@
   TimePoint held_off_until{};
   /** Time until which the endpoint is expected to be slow after its start. */
   TimePoint warmup_until{};
+  /** When the endpoint itself last stated its warm-up; not set if this incarnation has not. */
+  TimePoint warmup_stated_at{};
+  /** Time of the last attempt of this instance at the endpoint. */
+  TimePoint dispatched_at{};
   uint64_t name_hash = 0;
   /** Newest incarnation seen, and the newest one known to be leaving. */
   uint64_t incarnation = 0;
--- a/libs/core/src/endpoint_table.cc
+++ b/libs/core/src/endpoint_table.cc
@@ -134,6 +134,8 @@
   state.ejected_until = {};
   state.held_off_until = {};
   state.latency_us = 0;
+  state.states_warmup = false;
+  state.warmup_stated_at = {};
   return was_leaving;
 }
 
--- a/libs/core/src/gossip.cc
+++ b/libs/core/src/gossip.cc
@@ -12,6 +12,7 @@
 #include "core/gossip_message.h"
 #include "discovery.h"
 #include "endpoint_learning.h"
+#include "evacuations.h"
 #include "state_parts.h"
 #include "watchers.h"
 
@@ -158,6 +159,7 @@
   message->endpoints_as_of = parts.feed.CompleteRevision(now);
   message->leaving_digest = parts.rumors.LeavingDigest();
   message->endpoints_age = duration_cast<milliseconds>(now - parts.feed.confirmed_at);
+  message->evacuations = parts.evacuations.known;
   return message;
 }
 
@@ -197,12 +199,14 @@
   QueryPeer(parts, message.sender.peer_address, parts.random(), now, effects);
 }
 
-/** Notifies a peer with outdated lists or endpoints: this instance may be the only one with the newer data so far. */
+/** Notifies a peer with outdated lists, endpoints or evacuations: this instance may be the only one with the newer data
+ * so far. */
 void NotifyIfOutdated(StateParts& parts, const GossipMessage& message, TimePoint now, Effects& effects) {
   const bool older_lists = message.generation < parts.lists.generation;
   const bool other_endpoints = message.endpoints_digest != parts.feed.Digest();
   const bool older_endpoints = other_endpoints && now - message.endpoints_age < parts.feed.confirmed_at;
-  const bool behind = parts.options.discovery && (older_lists || older_endpoints);
+  const bool behind =
+      parts.options.discovery && (older_lists || older_endpoints || HasOutdatedEvacuations(parts, message));
   if (!behind || now - parts.last_outdated_notice < kMinOutdatedNoticeInterval)
     return;
   parts.last_outdated_notice = now;
@@ -312,6 +316,7 @@
   for (const GossipMessage::EndpointLoad& load : message.loads)
     ApplyLoad(parts, load, event.now);
   ApplyEndpointsFromPeer(parts, message, event.now, effects);
+  ApplyEvacuationsFromPeer(parts, message, event.now, effects);
   if (message.ask != 0)
     ReplyToQuery(parts, message, event.now, effects);
   OnWatcherReply(parts, message);
@@ -370,15 +375,23 @@
   }
 }
 
+/** Sends to every peer of this instance's failure domain, and to the others through relays there. */
+void SendToAll(StateParts& parts,
+               const std::shared_ptr<const GossipMessage>& message,
+               TimePoint now,
+               Effects& effects) {
+  SendToPeers(parts, PeerFilter::kAliveSameDomain, message, now, effects);
+  auto relayed = std::make_shared<GossipMessage>(*message);
+  relayed->relay = true;
+  SendToRelays(parts, relayed, now, effects);
+}
+
 }  // namespace
 
 void AnnounceEndpointChanges(StateParts& parts, std::vector<EndpointChange> changes, TimePoint now, Effects& effects) {
   std::shared_ptr<GossipMessage> message = MakeBaseMessage(parts, now);
   message->endpoint_changes = std::move(changes);
-  SendToPeers(parts, PeerFilter::kAliveSameDomain, message, now, effects);
-  auto relayed = std::make_shared<GossipMessage>(*message);
-  relayed->relay = true;
-  SendToRelays(parts, relayed, now, effects);
+  SendToAll(parts, message, now, effects);
 }
 
 void RelayEndpointChanges(StateParts& parts, std::vector<EndpointChange> changes, TimePoint now, Effects& effects) {
@@ -399,11 +412,15 @@
 }
 
 void AnnounceLeaving(StateParts& parts, TimePoint now, Effects& effects) {
-  const std::shared_ptr<GossipMessage> message = MakeBaseMessage(parts, now);
-  SendToPeers(parts, PeerFilter::kAliveSameDomain, message, now, effects);
-  auto relayed = std::make_shared<GossipMessage>(*message);
-  relayed->relay = true;
-  SendToRelays(parts, relayed, now, effects);
+  SendToAll(parts, MakeBaseMessage(parts, now), now, effects);
+}
+
+void AnnounceEvacuations(StateParts& parts, TimePoint now, Effects& effects) {
+  SendToAll(parts, MakeBaseMessage(parts, now), now, effects);
+}
+
+void RelayEvacuations(StateParts& parts, TimePoint now, Effects& effects) {
+  SendToPeers(parts, PeerFilter::kAliveSameDomain, MakeBaseMessage(parts, now), now, effects);
 }
 
 void AnnounceSelf(StateParts& parts, TimePoint now, Effects& effects) {
--- a/libs/core/src/gossip.h
+++ b/libs/core/src/gossip.h
@@ -38,6 +38,10 @@
 /** Tells every peer, those of other failure domains through a few of them, that this instance is leaving. */
 void AnnounceLeaving(StateParts& parts, TimePoint now, Effects& effects);
 
+/** Tells every peer, those of other failure domains through a few of them, which failure domains are evacuated. */
+void AnnounceEvacuations(StateParts& parts, TimePoint now, Effects& effects);
+/** Tells the peers in this failure domain which ones are evacuated. */
+void RelayEvacuations(StateParts& parts, TimePoint now, Effects& effects);
 /** Sends this instance's own member entry to every peer at once. */
 void AnnounceSelf(StateParts& parts, TimePoint now, Effects& effects);
 
--- a/libs/core/src/lists_apply.cc
+++ b/libs/core/src/lists_apply.cc
@@ -10,6 +10,7 @@
 #include "base/hash.h"
 #include "lists/lists.h"
 #include "state_parts.h"
+#include "warmup_limit.h"
 
 namespace sassafras {
 namespace {
@@ -124,6 +125,18 @@
     parts.At(order[i]).accepts_long_work = i < count;
 }
 
+}  // namespace
+
+SubsetSizes SubsetSizesFor(size_t same_domain, size_t other_domain) {
+  if (same_domain + other_domain <= kMaxSubsetSize)
+    return {same_domain, other_domain};
+  const size_t kept_other_domain =
+      std::max(std::min(other_domain, kOtherDomainSubsetSize), kMaxSubsetSize - std::min(same_domain, kMaxSubsetSize));
+  return {kMaxSubsetSize - kept_other_domain, kept_other_domain};
+}
+
+namespace {
+
 /** Moves the `count` entries of [first, last) with the lowest rendezvous hashes to the front. */
 void MoveLowestToFront(std::vector<std::pair<uint64_t, EndpointHandle>>::iterator first,
                        std::vector<std::pair<uint64_t, EndpointHandle>>::iterator last,
@@ -148,10 +161,8 @@
   const auto other_domain_begin = std::stable_partition(
       keyed.begin(), keyed.end(), [&](const auto& entry) { return parts.At(entry.second).same_failure_domain; });
   const auto same_domain_count = static_cast<size_t>(other_domain_begin - keyed.begin());
-  const size_t other_domain_count = keyed.size() - same_domain_count;
-  const size_t kept_other_domain = std::max(std::min(other_domain_count, kOtherDomainSubsetSize),
-                                            kMaxSubsetSize - std::min(same_domain_count, kMaxSubsetSize));
-  const size_t kept_same_domain = kMaxSubsetSize - kept_other_domain;
+  const auto [kept_same_domain, kept_other_domain] =
+      SubsetSizesFor(same_domain_count, keyed.size() - same_domain_count);
   MoveLowestToFront(keyed.begin(), other_domain_begin, kept_same_domain);
   MoveLowestToFront(other_domain_begin, keyed.end(), kept_other_domain);
   candidates.clear();
@@ -192,7 +203,7 @@
     const bool accepts_work = row.work == Work::kShort || parts.At(handle).accepts_long_work;
     // With discovery a leaving endpoint is excluded at once and permanently, so it is not a candidate.
     const bool stays = !parts.options.discovery || !parts.At(handle).leaving;
-    if (named && accepts_work && stays)
+    if (named && accepts_work && stays && !parts.At(handle).evacuated)
       candidates.push_back(handle);
   }
   KeepSubset(parts, candidates);
@@ -277,12 +288,14 @@
       parts.endpoints.MarkLeaving(handle, known.change.incarnation);
     // The entry does not withdraw a mark: answers of the endpoint may have said before the store that it leaves.
     state.leaving = listed_leaving || state.HasLeavingMark();
-    state.warmup_until = known.warmup_until;
+    ApplyListedWarmup(state, known);
+    state.evacuated = parts.evacuations.Contains(known.change.row.failure_domain);
     state.same_failure_domain = known.change.row.failure_domain == parts.self.failure_domain;
     state.connection_limit = ConnectionShare(parts, parts.At(service).config.connections);
     parts.At(service).endpoints.push_back(handle);
   }
   RefreshCandidates(parts);
+  ChooseWarmupEndpoints(parts);
   parts.endpoints.ReclaimInactive(now);
 }
 
--- a/libs/core/src/lists_apply.h
+++ b/libs/core/src/lists_apply.h
@@ -7,6 +7,15 @@
 struct Lists;
 struct StateParts;
 
+/** Numbers of endpoints in its own and in other failure domains that an instance uses of one service. */
+struct SubsetSizes {
+  size_t same_domain = 0;
+  size_t other_domain = 0;
+};
+
+/** Returns how many endpoints an instance uses if it can use these numbers of endpoints. */
+SubsetSizes SubsetSizesFor(size_t same_domain, size_t other_domain);
+
 /**
  * Applies lists: a version of the operators' configuration of plans, services, endpoints and limits. Calls in progress
  * and learned state of unchanged plans, services and endpoints are kept.
--- a/libs/core/src/load_probing.cc
+++ b/libs/core/src/load_probing.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <utility>
 
 #include "call_end.h"
 #include "dispatch.h"
@@ -12,6 +13,7 @@
 #include "selection.h"
 #include "slot_admission.h"
 #include "state_parts.h"
+#include "warmup_limit.h"
 
 namespace sassafras {
 namespace {
@@ -105,18 +107,22 @@
 }
 
 /**
- * Chooses an endpoint without probe answers: of those not probed, the one with the fewest attempts of this instance; if
- * there is none, the first probed one.
+ * Chooses an endpoint without probe answers: of those not probed, the one with the fewest attempts of this instance,
+ * preferably one whose load no warm-up limits; if there is none, the first probed one.
  */
 EndpointHandle FallbackEndpoint(StateParts& parts, const CallState& call, TimePoint now) {
   EndpointHandle best;
+  const auto rank = [&](EndpointHandle endpoint) {
+    const EndpointState& state = parts.At(endpoint);
+    return std::pair(IsLimitedByWarmup(parts, state, now), state.in_flight);
+  };
   const auto& candidates = parts.CandidatesOf(call);
   const size_t start = candidates.empty() ? 0 : parts.random() % candidates.size();
   for (size_t step = 0; step < candidates.size(); ++step) {
     const EndpointHandle endpoint = candidates[(start + step) % candidates.size()];
     if (!IsEligible(parts, call, endpoint, now) || WasProbed(call, endpoint))
       continue;
-    if (!best.IsValid() || parts.At(endpoint).in_flight < parts.At(best).in_flight)
+    if (!best.IsValid() || rank(endpoint) < rank(best))
       best = endpoint;
   }
   if (!best.IsValid() && call.probed_count > 0 && IsEligible(parts, call, call.probed[0], now))
--- a/libs/core/src/reducer.cc
+++ b/libs/core/src/reducer.cc
@@ -7,6 +7,7 @@
 #include "calls.h"
 #include "control.h"
 #include "discovery.h"
+#include "evacuations.h"
 #include "gossip.h"
 #include "load_probing.h"
 #include "roster.h"
@@ -27,6 +28,7 @@
   void operator()(const Event::CallArrived& event) { OnCallArrived(parts, event, effects); }
   void operator()(const Event::CallerGone& event) { OnCallerGone(parts, event, effects); }
   void operator()(const Event::EndpointsReceived& event) { OnEndpointsReceived(parts, event, effects); }
+  void operator()(const Event::EvacuationsReceived& event) { OnEvacuationsReceived(parts, event, effects); }
   void operator()(const Event::RosterReceived& event) { OnRosterReceived(parts, event); }
   void operator()(const Event::StoreReadEnded& event) { OnStoreReadEnded(parts, event, effects); }
   void operator()(const Event::ProbeWaitExpired& event) { OnProbeWaitExpired(parts, event, effects); }
--- a/libs/core/src/roster.cc
+++ b/libs/core/src/roster.cc
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "state_parts.h"
+#include "warmup_limit.h"
 
 namespace sassafras {
 namespace {
@@ -88,6 +89,7 @@
       others.push_back(member);
   }
   parts.members.ApplyListing(others, false, event.now);
+  UpdateWarmupFleet(parts, event.now);
 }
 
 bool KnowsFleet(const StateParts& parts, TimePoint now) {
--- a/libs/core/src/selection.cc
+++ b/libs/core/src/selection.cc
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "state_parts.h"
+#include "warmup_limit.h"
 
 namespace sassafras {
 namespace {
@@ -50,14 +51,18 @@
 bool IsEligible(StateParts& parts, const CallState& call, EndpointHandle endpoint, TimePoint now) {
   const EndpointState& state = parts.At(endpoint);
   // The table position may since have been reused for an endpoint of another service.
-  if (state.service != call.service || !state.active || state.leaving)
+  if (state.service != call.service || !state.active || state.leaving || state.evacuated)
     return false;
   if (state.ejected_until > now || state.held_off_until > now)
     return false;
   if (state.in_flight >= state.connection_limit)
     return false;
   const auto end = call.tried.begin() + call.attempts;
-  return std::find(call.tried.begin(), end, endpoint) == end;
+  if (std::find(call.tried.begin(), end, endpoint) != end)
+    return false;
+  const bool limited = IsWarmupLimitReached(parts, state, now);
+  parts.warmup_refusals += limited ? 1 : 0;
+  return !limited;
 }
 
 std::optional<SelectionRule> ParseSelectionRule(std::string_view name) {
--- a/libs/core/src/state.cc
+++ b/libs/core/src/state.cc
@@ -108,7 +108,11 @@
 
 bool State::AcceptsCalls(EndpointHandle endpoint) const {
   const EndpointState& state = m_parts->At(endpoint);
-  return state.active && !state.leaving;
+  return state.active && !state.leaving && !state.evacuated;
+}
+
+bool State::IsEvacuated(EndpointHandle endpoint) const {
+  return m_parts->At(endpoint).evacuated;
 }
 
 bool State::IsHeldOff(EndpointHandle endpoint, TimePoint now) const {
@@ -134,8 +138,11 @@
 std::vector<EndpointChange> State::KnownEndpoints() const {
   std::vector<EndpointChange> endpoints;
   for (const auto& [name, known] : m_parts->feed.All()) {
-    if (known.change.kind != EndpointChange::Kind::kGone)
-      endpoints.push_back(known.change);
+    if (known.change.kind == EndpointChange::Kind::kGone)
+      continue;
+    endpoints.push_back(known.change);
+    const Duration left = std::max(Duration::zero(), known.warmup_until - m_parts->last_tick);
+    endpoints.back().warmup = std::chrono::ceil<std::chrono::milliseconds>(left);
   }
   return endpoints;
 }
@@ -204,6 +211,18 @@
   return m_parts->probes_sent;
 }
 
+const std::vector<std::string>& State::EvacuatedDomains() const {
+  return m_parts->evacuations.known.failure_domains;
+}
+
+uint64_t State::EvacuationsAsOf() const {
+  return m_parts->evacuations.known.as_of;
+}
+
+uint64_t State::WarmupRefusals() const {
+  return m_parts->warmup_refusals;
+}
+
 size_t State::RecordCount() const {
   return m_parts->records.Size();
 }
--- a/libs/core/src/state_parts.h
+++ b/libs/core/src/state_parts.h
@@ -12,6 +12,7 @@
 #include "core/state_options.h"
 #include "endpoint_feed.h"
 #include "endpoint_table.h"
+#include "evacuation_state.h"
 #include "idempotency_table.h"
 #include "lists/caller_limits.h"
 #include "lists_tracker.h"
@@ -25,6 +26,7 @@
 #include "rumor_board.h"
 #include "service_state.h"
 #include "timed_token_bucket.h"
+#include "warmup_fleet.h"
 #include "watcher_state.h"
 
 namespace sassafras {
@@ -59,6 +61,7 @@
   EndpointTable endpoints;
   CallTable calls;
   EndpointFeed feed;
+  EvacuationState evacuations;
   IdempotencyTable records;
   Quarantine quarantine;
   RejectedCalls rejected_calls;
@@ -73,6 +76,9 @@
   /** Moving average of the time in which an endpoint answers a load probe. */
   float load_probe_rtt_us = 0;
   uint64_t probes_sent = 0;
+  WarmupFleet warmup_fleet;
+  /** How often an endpoint in warm-up was passed over for a call, because its limit was reached. */
+  uint64_t warmup_refusals = 0;
   /** Log records of the current event; Reduce() appends them to the effects. */
   std::vector<LogRecord> log_records;
   /** Whether a gossip round is due at once because of a new rumor or new lists. */
--- a/libs/core/tests/fake_store.cc
+++ b/libs/core/tests/fake_store.cc
@@ -18,12 +18,21 @@
 }
 
 uint64_t FakeStore::NextGeneration(TimePoint now) {
-  ++m_latest.revision;
+  m_latest.operator_revision = ++m_latest.revision;
   ++m_latest.generation;
   SaveSnapshot(now);
   return m_latest.generation;
 }
 
+void FakeStore::SetEvacuated(const std::string& domain, bool evacuated, TimePoint now) {
+  const bool changed =
+      evacuated ? m_latest.evacuated_domains.insert(domain).second : m_latest.evacuated_domains.erase(domain) > 0;
+  if (!changed)
+    return;
+  m_latest.operator_revision = ++m_latest.revision;
+  SaveSnapshot(now);
+}
+
 void FakeStore::Put(EndpointChange entry, TimePoint now) {
   entry.revision = ++m_latest.revision;
   m_changes.push_back(entry);
--- a/libs/core/tests/fake_store.h
+++ b/libs/core/tests/fake_store.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -13,7 +14,8 @@
 
 namespace sassafras {
 
-/** Model of the platform's store: endpoints, the generation of the plans and the roster, under one revision counter. */
+/** Model of the platform's store: endpoints, the generation of the plans, evacuations and the roster, under one
+ * revision counter. */
 class FakeStore {
  public:
   /** Endpoints and generation at one revision. */
@@ -21,6 +23,9 @@
     uint64_t revision = MakeStoreRevision(1, 1);
     uint64_t generation = 1;
     std::map<std::string, EndpointChange> endpoints;
+    std::set<std::string> evacuated_domains;
+    /** Revision of the latest change of the generation or of the evacuated domains. */
+    uint64_t operator_revision = revision;
   };
 
   explicit FakeStore(TimePoint now) { SaveSnapshot(now); }
@@ -29,6 +34,7 @@
   /** What a read that lags by `lag` returns at `now`. */
   const Snapshot& SnapshotAt(TimePoint now, Duration lag) const;
   uint64_t NextGeneration(TimePoint now);
+  void SetEvacuated(const std::string& domain, bool evacuated, TimePoint now);
   void Put(EndpointChange entry, TimePoint now);
   void Remove(const std::string& name, TimePoint now);
   /** Appends the endpoint changes after `revision` to `changes`; returns false if they have been compacted. */
--- a/libs/core/tests/fleet_fuzz_test.cc
+++ b/libs/core/tests/fleet_fuzz_test.cc
@@ -174,6 +174,17 @@
   }
 };
 
+struct EvacuateDomain : Step {
+  bool evacuated = *rc::gen::arbitrary<bool>();
+  void Act(PlatformFleetSimulation& simulation) const override {
+    simulation.SetEvacuated(pick % 2 == 0 ? "a" : "b", evacuated);
+  }
+};
+
+struct StartWarmup : Step {
+  void Act(PlatformFleetSimulation& simulation) const override { simulation.StartWarmup(Address()); }
+};
+
 struct LongDelay : Step {
   void Act(PlatformFleetSimulation& simulation) const override {
     simulation.Advance(Millis(static_cast<int>(pick) * 6));
@@ -193,7 +204,7 @@
             ChangeStoreMode, ChangeStoreMode, TakeStoreDown, BringStoreUp, BringStoreUp, RestoreStore, ChangeReadLag,
             CompactStoreHistory, MoveRoute, MoveRoute, DrainEndpoint, LeaveWithoutNotice, HoldOffRequests,
             CrashEndpoint, StartEndpoint, StartEndpoint, RestartEndpoint, WriteDamagedEntry, LoseAnswers,
-            ChangeGossipDropRate, LongDelay, LongDelay>());
+            ChangeGossipDropRate, EvacuateDomain, EvacuateDomain, StartWarmup, LongDelay, LongDelay>());
     simulation->RecoverAndCheck();
     digest = HashCombine(digest, simulation->EffectsHash());
     RC_ASSERT(simulation->FirstViolation() == std::string());
--- a/libs/core/tests/platform_fleet_simulation.cc
+++ b/libs/core/tests/platform_fleet_simulation.cc
@@ -17,7 +17,11 @@
 constexpr Millis kMaxLeavingNoticeDelay{2'000};
 /** Maximum time, as the users require, from the store's acknowledgement of a generation until it is applied. */
 constexpr Millis kMaxListsDelay{2'000};
-/** Time without failures after which the two bounds above apply. */
+/** Maximum time, as the users require, from the store's acknowledgement of an evacuation to the last request. */
+constexpr Millis kMaxEvacuationDelay{5'000};
+/** Time until every instance in touch knows that an endpoint went back to warm-up, by its answers or its entry. */
+constexpr Millis kWarmupNoticeTime{2'000};
+/** Time without failures after which the three bounds above apply. */
 constexpr Millis kUndisturbedTime{3'000};
 /** Time from the end of an endpoint's entry until another endpoint may use its address. */
 constexpr Millis kAddressReuseDelay{2'000};
@@ -254,6 +258,8 @@
   const uint64_t latest_generation = m_store.Latest().generation;
   BringStoreUp();
   m_store.Restore(m_now, age);
+  for (const char* domain : {"a", "b"})
+    m_store.SetEvacuated(domain, m_evacuated_at.contains(domain), m_now);
   for (uint64_t generation = m_store.Latest().generation; generation < latest_generation; ++generation)
     m_store.NextGeneration(m_now);
   for (size_t address = 0; address < kAddresses; ++address) {
@@ -292,9 +298,31 @@
                6,
                0};
   entry.incarnation = endpoint.incarnation;
+  entry.warmup = std::max(Millis(0), std::chrono::ceil<Millis>(endpoint.warmup_until - m_now));
   m_store.Put(std::move(entry), m_now);
 }
 
+void PlatformFleetSimulation::SetEvacuated(const std::string& domain, bool evacuated) {
+  if (m_store_down)
+    return;
+  m_store.SetEvacuated(domain, evacuated, m_now);
+  if (evacuated)
+    m_evacuated_at.emplace(domain, m_now);
+  else
+    m_evacuated_at.erase(domain);
+}
+
+void PlatformFleetSimulation::StartWarmup(size_t address) {
+  FakeEndpoint& endpoint = m_endpoints[address];
+  if (!endpoint.up || endpoint.draining || m_now < endpoint.warmup_until)
+    return;
+  endpoint.warmup_from = m_now;
+  endpoint.warmup_until = m_now + kWarmupDuration;
+  endpoint.warmup_runs.clear();
+  if (!m_store_down)
+    PutEntry(address);
+}
+
 void PlatformFleetSimulation::Drain(size_t address) {
   FakeEndpoint& endpoint = m_endpoints[address];
   if (!endpoint.up || endpoint.draining || m_store_down)
@@ -445,6 +473,23 @@
         fmt::format("{} received a call from i{} long after it told it that it leaves", endpoint.name, call.instance));
 }
 
+void PlatformFleetSimulation::CheckEvacuation(size_t address, size_t index) {
+  const std::string domain = address % 2 == 0 ? "a" : "b";
+  const auto evacuated = m_evacuated_at.find(domain);
+  if (evacuated != m_evacuated_at.end() && m_now > evacuated->second + kMaxEvacuationDelay && IsUndisturbed(index))
+    ReportViolation(fmt::format("an endpoint of the evacuated domain {} received a request from i{}", domain, index));
+}
+
+void PlatformFleetSimulation::CheckWarmup(FakeEndpoint& endpoint, size_t index) {
+  if (m_now < endpoint.warmup_from + kWarmupNoticeTime || m_now >= endpoint.warmup_until || !IsUndisturbed(index))
+    return;
+  std::vector<TimePoint>& runs = endpoint.warmup_runs;
+  runs.push_back(m_now);
+  std::erase_if(runs, [&](TimePoint run) { return run <= m_now - Millis(1'000); });
+  if (runs.size() > kMaxWarmupRequests)
+    ReportViolation(fmt::format("{} received {} requests in a second of its warm-up", endpoint.name, runs.size()));
+}
+
 void PlatformFleetSimulation::CheckNoFalseLeavingMarks(size_t index) {
   const State& state = *m_instances[index].state;
   for (uint32_t position = 0; position < state.EndpointCount(); ++position) {
@@ -497,6 +542,10 @@
     if (instance.state->CallsInProgress() > 0)
       ReportViolation(fmt::format("i{} has calls in progress that never ended", i));
     CheckNoFalseLeavingMarks(i);
+    const std::vector<std::string>& evacuated = instance.state->EvacuatedDomains();
+    if (std::set<std::string>(evacuated.begin(), evacuated.end()) != m_store.Latest().evacuated_domains)
+      ReportViolation(fmt::format("i{} knows {} evacuated domains, the store {}", i, evacuated.size(),
+                                  m_store.Latest().evacuated_domains.size()));
     std::map<std::string, bool> known;
     for (const EndpointChange& endpoint : instance.state->KnownEndpoints())
       known[endpoint.row.name] = endpoint.kind == EndpointChange::Kind::kLeaving;
--- a/libs/core/tests/platform_fleet_simulation.h
+++ b/libs/core/tests/platform_fleet_simulation.h
@@ -39,6 +39,10 @@
   static constexpr size_t kAddresses = 8;
   static constexpr Millis kCallDeadline{1'500};
   static constexpr Millis kHoldOffDuration{1'500};
+  static constexpr Millis kWarmupDuration{6'000};
+  /** Requests a second that an endpoint in warm-up tolerates, and the bound of what it may get. */
+  static constexpr double kWarmupRate = 0.5;
+  static constexpr size_t kMaxWarmupRequests = 8;
 
   explicit PlatformFleetSimulation(uint64_t seed);
   ~PlatformFleetSimulation();
@@ -74,6 +78,10 @@
   void CompactStoreHistory() { m_store.CompactHistory(); }
   /** Publishes a generation in which the plan of repeatable calls uses the other service. */
   void MoveRoute();
+  /** Evacuates the failure domain "a" or "b", or takes the evacuation back. */
+  void SetEvacuated(const std::string& domain, bool evacuated);
+  /** Sends the endpoint at the address back to warm-up for kWarmupDuration; its answers to probes say so. */
+  void StartWarmup(size_t address);
   /** Makes the endpoint at the address announce that it is leaving; it serves for kDrainDuration and exits. */
   void Drain(size_t address);
   /**
@@ -150,6 +158,10 @@
     bool holds_off = false;
     uint64_t incarnation = 0;
     size_t requests_running = 0;
+    TimePoint warmup_from{};
+    TimePoint warmup_until{};
+    /** Times of the requests that the endpoint ran in warm-up. */
+    std::vector<TimePoint> warmup_runs;
     /** When the store acknowledged that the endpoint is leaving. */
     std::optional<TimePoint> leave_acknowledged_at;
     /** When each instance was first told by an answer that the endpoint is leaving; reset if it restarts or pauses. */
@@ -215,7 +227,9 @@
   void CallStore(size_t instance, std::function<void()> on_answer, std::function<void()> on_failure);
   void LongPollEndpoints(size_t instance, const Effect::ReadEndpoints& read, TimePoint respond_by);
   void DeliverStoreRead(size_t instance, uint64_t incarnation, bool ok);
-  void ContinueWatch(size_t instance, uint64_t incarnation, uint64_t generation, TimePoint wait_until);
+  void ContinueWatch(size_t instance, uint64_t incarnation, uint64_t operator_revision, TimePoint wait_until);
+  /** Delivers the plans and the evacuated failure domains of a snapshot of the store. */
+  void DeliverPlans(size_t instance, uint64_t incarnation, const FakeStore::Snapshot& snapshot, bool may_lag);
   void HandleRequest(size_t address,
                      size_t call,
                      size_t instance,
@@ -240,6 +254,10 @@
   void CheckHoldOff(FakeEndpoint& endpoint, size_t instance);
   void CheckNoFalseLeavingMarks(size_t instance);
   void CheckRun(const FakeEndpoint& endpoint, const CallRecord& call);
+  /** Checks that the evacuation of a failure domain, if it is in force by now, keeps requests from its endpoints. */
+  void CheckEvacuation(size_t address, size_t instance);
+  /** Counts a request to an endpoint, and reports a violation if it gets too many in warm-up. */
+  void CheckWarmup(FakeEndpoint& endpoint, size_t instance);
   void CheckGenerations();
   void ReportViolation(const std::string& what);
   int InstanceByPeerAddress(const std::string& address) const;
@@ -264,6 +282,8 @@
   double m_gossip_drop_rate = 0.0;
   bool m_store_down = false;
   std::vector<size_t> m_expired_addresses;
+  /** Evacuated failure domains, with the time at which the store acknowledged the evacuation. */
+  std::map<std::string, TimePoint> m_evacuated_at;
   TimePoint m_store_undisturbed_since;
   TimePoint m_gossip_undisturbed_since;
   EffectsDigest m_effects_digest;
--- a/libs/core/tests/platform_fleet_simulation_effects.cc
+++ b/libs/core/tests/platform_fleet_simulation_effects.cc
@@ -32,6 +32,7 @@
     service.name = name;
     service.connections = 200;
     service.long_share = 100;
+    service.warmup_rate = kWarmupRate;
     lists->services.push_back(service);
   }
   for (const bool repeat_safe : {true, false}) {
@@ -68,13 +69,27 @@
   });
 }
 
+void PlatformFleetSimulation::DeliverPlans(size_t index,
+                                           uint64_t incarnation,
+                                           const FakeStore::Snapshot& snapshot,
+                                           bool may_lag) {
+  // A read that may lag does not tell the era.
+  const uint64_t as_of = may_lag ? RevisionNumber(snapshot.revision) : snapshot.revision;
+  const auto& domains = snapshot.evacuated_domains;
+  DeliverEvent(index, incarnation, [=, this, names = std::vector(domains.begin(), domains.end())]() -> Event::Any {
+    return Event::EvacuationsReceived{m_now, {as_of, names}, may_lag};
+  });
+  DeliverEvent(index, incarnation, [this, generation = snapshot.generation]() -> Event::Any {
+    return Event::ListsReceived{m_now, generation, MakeLists(generation)};
+  });
+}
+
 void PlatformFleetSimulation::HandleEffect(size_t index, const Effect::PollStore& effect) {
   const uint64_t incarnation = m_instances[index].incarnation;
   const auto on_answer = [=, this] {
-    const uint64_t generation = (effect.may_lag ? m_store.SnapshotAt(m_now, m_read_lag) : m_store.Latest()).generation;
-    DeliverEvent(index, incarnation, [=, this]() -> Event::Any {
-      return Event::ListsReceived{m_now, generation, MakeLists(generation)};
-    });
+    const FakeStore::Snapshot snapshot = effect.may_lag ? m_store.SnapshotAt(m_now, m_read_lag) : m_store.Latest();
+    const uint64_t generation = snapshot.generation;
+    DeliverPlans(index, incarnation, snapshot, effect.may_lag);
     if (effect.may_lag)
       return;
     DeliverEvent(index, incarnation, [=, this]() -> Event::Any { return Event::StoreConfirmed{m_now, generation}; });
@@ -84,7 +99,7 @@
 
 void PlatformFleetSimulation::ContinueWatch(size_t index,
                                             uint64_t incarnation,
-                                            uint64_t generation,
+                                            uint64_t operator_revision,
                                             TimePoint wait_until) {
   Instance& instance = m_instances[index];
   if (instance.incarnation != incarnation || !instance.watching || instance.state == nullptr)
@@ -94,22 +109,24 @@
         instance.store_mode == StoreMode::kSilent ? Duration(kMaxWatchWait) : Duration(kWatchRetryDelay);
     RunAfter(wait, [=, this] {
       DeliverStoreRead(index, incarnation, m_instances[index].store_mode == StoreMode::kAnswers);
-      ContinueWatch(index, incarnation, generation, m_now + kMaxWatchWait);
+      ContinueWatch(index, incarnation, operator_revision, m_now + kMaxWatchWait);
     });
     return;
   }
-  const uint64_t latest = m_store.Latest().generation;
-  if (latest == generation && m_now < wait_until) {
-    RunAfter(Millis(10), [=, this] { ContinueWatch(index, incarnation, generation, wait_until); });
+  const FakeStore::Snapshot& latest = m_store.Latest();
+  if (latest.operator_revision == operator_revision && m_now < wait_until) {
+    RunAfter(Millis(10), [=, this] { ContinueWatch(index, incarnation, operator_revision, wait_until); });
     return;
   }
-  DeliverEvent(index, incarnation, [=, this]() -> Event::Any {
-    return Event::ListsReceived{m_now, latest, MakeLists(latest)};
+  DeliverPlans(index, incarnation, latest, false);
+  DeliverEvent(index, incarnation, [this, generation = latest.generation]() -> Event::Any {
+    return Event::StoreConfirmed{m_now, generation};
   });
-  DeliverEvent(index, incarnation, [=, this]() -> Event::Any { return Event::StoreConfirmed{m_now, latest}; });
   ++m_store_call_count;
   DeliverStoreRead(index, incarnation, true);
-  RunAfter(NetworkDelay(), [=, this] { ContinueWatch(index, incarnation, latest, m_now + kMaxWatchWait); });
+  RunAfter(NetworkDelay(), [=, this, seen = latest.operator_revision] {
+    ContinueWatch(index, incarnation, seen, m_now + kMaxWatchWait);
+  });
 }
 
 void PlatformFleetSimulation::HandleEffect(size_t index, const Effect::WatchStore& effect) {
@@ -309,6 +326,8 @@
       CheckHoldOff(endpoint, index);
     LoadReport load = answered ? MakeLoadReport(endpoint) : LoadReport();
     load.incarnation = known_incarnation;
+    if (answered)
+      load.warmup_left = std::max(Millis(0), std::chrono::ceil<Millis>(endpoint.warmup_until - m_now));
     const uint64_t answering = endpoint.incarnation;
     RunAfter(NetworkDelay(), [=, this] {
       DeliverEvent(index, incarnation, [=, this]() -> Event::Any {
@@ -333,6 +352,9 @@
 void PlatformFleetSimulation::HandleEffect(size_t index, const Effect::Dispatch& dispatch) {
   const size_t number = m_calls_by_ticket.at({index, dispatch.ticket});
   const Endpoint row = m_instances[index].state->EndpointConfig(dispatch.endpoint);
+  const std::vector<std::string>& evacuated = m_instances[index].state->EvacuatedDomains();
+  if (std::find(evacuated.begin(), evacuated.end(), row.failure_domain) != evacuated.end())
+    ReportViolation(fmt::format("i{} sent a request to a failure domain that it knows to be evacuated", index));
   const auto address = static_cast<size_t>(row.address.back() - '0');
   const uint64_t incarnation = m_instances[index].incarnation;
   const uint64_t known_incarnation = m_instances[index].state->EndpointIncarnation(dispatch.endpoint);
@@ -392,6 +414,8 @@
   }
   ++call.runs;
   CheckRun(endpoint, call);
+  CheckEvacuation(address, index);
+  CheckWarmup(endpoint, index);
   if (!call.repeat_safe && !endpoint.other_service)
     ReportViolation(fmt::format("{} ran a call that no plan routes to its service", endpoint.name));
   ++endpoint.requests_running;
--- a/libs/core/tests/single_instance.h
+++ b/libs/core/tests/single_instance.h
@@ -26,7 +26,10 @@
   using Millis = std::chrono::milliseconds;
 
   explicit SingleInstance(StateOptions options = {}, const std::string& name = "i0")
-      : m_state(PrepareOptions(options, name)) {}
+      : m_state(PrepareOptions(options, name)) {
+    // An instance does not serve before it has read the evacuated failure domains.
+    ReceiveEvacuations({}, 1);
+  }
 
   /** Makes lists of services "s" and "t", with one plan "p" for path "/" that uses `service`. */
   static Lists MakeLists(const std::string& service, Repeat repeat = Repeat::kSafe) {
@@ -75,6 +78,11 @@
     HandleEvent(Event::EndpointsReceived{m_now, as_of, whole, std::move(changes)});
   }
 
+  /** Delivers the evacuated failure domains as read from the store at revision `as_of`. */
+  const Effects& ReceiveEvacuations(std::vector<std::string> domains, uint64_t as_of) {
+    return HandleEvent(Event::EvacuationsReceived{m_now, {as_of, std::move(domains)}});
+  }
+
   /**
    * Delivers a new call whose caller allows it the time `limit`.
    * @param fingerprint  that of the request; by default one that no other call has
--- a/libs/entry/src/admin_pages.cc
+++ b/libs/entry/src/admin_pages.cc
@@ -138,6 +138,9 @@
     if (state.IsLeaving(endpoint))
       leaving.emplace_back(state.EndpointConfig(endpoint).name);
   }
+  json::array evacuated;
+  for (const std::string& name : state.EvacuatedDomains())
+    evacuated.emplace_back(name);
   const Member& self = state.Self();
   return JsonPage(kOk, json::object{{"instance", self.name},
                                     {"incarnation", fmt::format("{:x}", self.incarnation)},
@@ -152,7 +155,9 @@
                                     {"probe_seats", state.SeatsHeld(m_engine.Now())},
                                     {"probes_sent", state.ProbesSent()},
                                     {"table_bytes", state.TableBytes()},
-                                    {"leaving_endpoints", std::move(leaving)}});
+                                    {"leaving_endpoints", std::move(leaving)},
+                                    {"evacuated_failure_domains", std::move(evacuated)},
+                                    {"evacuations_as_of", state.EvacuationsAsOf()}});
 }
 
 Page AdminPages::RenderBurn() const {
--- a/libs/entry/src/endpoint_json.cc
+++ b/libs/entry/src/endpoint_json.cc
@@ -19,7 +19,8 @@
           {"failure_domain", endpoint.row.failure_domain},
           {"slots", endpoint.row.slots},
           {"incarnation", endpoint.incarnation},
-          {"revision", endpoint.revision}};
+          {"revision", endpoint.revision},
+          {"warmup_ms", endpoint.warmup.count()}};
 }
 
 /** Decodes one endpoint; throws if a field is missing or has the wrong type. */
@@ -40,6 +41,9 @@
   endpoint.row.slots = static_cast<uint32_t>(number("slots"));
   endpoint.incarnation = number("incarnation");
   endpoint.revision = number("revision");
+  // Peers of an earlier version do not state it.
+  if (object.contains("warmup_ms"))
+    endpoint.warmup = std::chrono::milliseconds(object.at("warmup_ms").to_number<uint32_t>());
   return endpoint;
 }
 
--- a/libs/entry/src/entry_instance.cc
+++ b/libs/entry/src/entry_instance.cc
@@ -381,6 +381,8 @@
   set("sassafras_probes_withdrawn_total", m_prober.WithdrawnCount());
   set("sassafras_idempotency_records", state.RecordCount());
   set("sassafras_quarantined_requests", state.QuarantineCount());
+  set("sassafras_evacuated_failure_domains", state.EvacuatedDomains().size());
+  set("sassafras_warmup_refusals_total", state.WarmupRefusals());
   set("sassafras_table_bytes", state.TableBytes());
 }
 
--- a/libs/entry/src/fleet_link.cc
+++ b/libs/entry/src/fleet_link.cc
@@ -82,7 +82,18 @@
   m_engine.Post(Event::ListsReceived{m_engine.Now(), snapshot.generation, snapshot.lists});
 }
 
+void FleetLink::PostEvacuations(const PlansSnapshot& snapshot, ReadConsistency consistency) {
+  if (snapshot.evacuations.as_of > 0)
+    m_engine.Post(Event::EvacuationsReceived{m_engine.Now(), snapshot.evacuations,
+                                             consistency == ReadConsistency::kSerializable});
+}
+
 void FleetLink::ProcessPlans(const PlansSnapshot& snapshot, ReadConsistency consistency) {
+  PostEvacuations(snapshot, consistency);
+  if (!snapshot.plans_status.ok()) {
+    Log(LogLevel::kError, "plans_unusable", {{"error", MessageOf(snapshot.plans_status)}});
+    return;
+  }
   m_plans_as_of = std::max(m_plans_as_of, snapshot.as_of);
   if (snapshot.generation > m_engine.GetState().Generation())
     PutPlansInForce(snapshot, Deflate(snapshot.document),
@@ -241,9 +252,11 @@
       snapshot = co_await m_store->WatchPlans(m_plans_as_of, kWatchTimeout);
     RecordResult(snapshot.status());
     if (snapshot.ok() && snapshot->as_of > 0) {
-      m_watch_failures = 0;
       ProcessPlans(*snapshot, ReadConsistency::kLinearizable);
-      continue;
+      if (snapshot->plans_status.ok()) {
+        m_watch_failures = 0;
+        continue;
+      }
     }
     co_await Sleep(StoreRetryDelay(m_watch_failures++));
   }
--- a/libs/entry/src/fleet_link.h
+++ b/libs/entry/src/fleet_link.h
@@ -61,6 +61,8 @@
   void ProcessRoster(absl::StatusOr<RosterSnapshot> roster, std::string_view log_event);
   boost::asio::awaitable<void> Sleep(Duration pause);
   void PutPlansInForce(const PlansSnapshot& snapshot, std::string compressed, std::string_view source);
+  /** Passes the evacuated failure domains on to the reducer, if the snapshot holds them. */
+  void PostEvacuations(const PlansSnapshot& snapshot, ReadConsistency consistency);
   void ProcessPlans(const PlansSnapshot& snapshot, ReadConsistency consistency);
   /** Counts a store request, and tells the reducer whether the store answered it. */
   void RecordResult(const absl::Status& status);
--- a/libs/entry/src/log_record_writer.cc
+++ b/libs/entry/src/log_record_writer.cc
@@ -20,7 +20,7 @@
 };
 
 /** Indexed by LogRecord::Kind. */
-constexpr std::array<Row, 10> kRows = {{
+constexpr std::array<Row, 12> kRows = {{
     {LogRecord::Kind::kEndpointServing, LogLevel::kInfo, "endpoint_serving", "endpoint", "revision"},
     {LogRecord::Kind::kEndpointLeaving, LogLevel::kInfo, "endpoint_leaving", "endpoint", "revision"},
     {LogRecord::Kind::kEndpointGone, LogLevel::kInfo, "endpoint_gone", "endpoint", "revision"},
@@ -31,6 +31,8 @@
     {LogRecord::Kind::kRequestQuarantined, LogLevel::kWarning, "request_quarantined", "fingerprint", "version"},
     {LogRecord::Kind::kWatching, LogLevel::kInfo, "watching", "instance", "members"},
     {LogRecord::Kind::kNotWatching, LogLevel::kInfo, "not_watching", "instance", "members"},
+    {LogRecord::Kind::kDomainEvacuated, LogLevel::kWarning, "domain_evacuated", "failure_domain", "as_of"},
+    {LogRecord::Kind::kEvacuationEnded, LogLevel::kInfo, "evacuation_ended", "failure_domain", "as_of"},
 }};
 
 }  // namespace
@@ -38,6 +40,16 @@
 void WriteLogRecordLine(const LogRecord& record) {
   const Row& row = kRows[static_cast<size_t>(record.kind)];
   const std::string version = std::to_string(record.version);
+  const bool is_evacuation =
+      record.kind == LogRecord::Kind::kDomainEvacuated || record.kind == LogRecord::Kind::kEvacuationEnded;
+  if (is_evacuation) {
+    Log(row.level, row.event,
+        {{row.subject, record.subject},
+         {row.version, version},
+         {"source", record.source},
+         {"age_ms", std::to_string(record.age.count())}});
+    return;
+  }
   if (record.lifetime.count() == 0) {
     Log(row.level, row.event, {{row.subject, record.subject}, {row.version, version}, {"source", record.source}});
     return;
--- a/libs/entry/src/prober.cc
+++ b/libs/entry/src/prober.cc
@@ -75,7 +75,8 @@
   request.set(http::field::host, address);
   // Checked right before sending: the process may have been paused, or the endpoint may have asked for no requests.
   const TimePoint now = m_engine.Now();
-  if (now >= not_after || m_engine.GetState().IsHeldOff(ended.endpoint, now)) {
+  const State& state = m_engine.GetState();
+  if (now >= not_after || state.IsHeldOff(ended.endpoint, now) || state.IsEvacuated(ended.endpoint)) {
     ++m_withdrawn;
     ended.withdrawn = true;
     co_return error;
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -52,6 +52,10 @@
      "received.whole"),
     ("interim_responses_without_end", ENTRY_SOURCES + "attempt.cc", "interim <= kMaxInterimResponses", "true",
      "sent < kBoundedBytes"),
+    ("evacuation_ignored_at_dispatch", CORE_SOURCES + "state.cc", "state.active && !state.leaving && !state.evacuated",
+     "state.active && !state.leaving", "AcceptsCalls(dispatch.endpoint)"),
+    ("warmup_limit_removed", CORE_SOURCES + "selection.cc", "  return !limited;", "  return true;",
+     "MostInOneSecond"),
     ("lose_waiting_call", CORE_SOURCES + "dispatch.cc", "queue.Push(skipped[i]);", "(void)skipped[i];", "never"),
 ]
 
