--- a/libs/core/tests/warmup_test.cc
+++ b/libs/core/tests/warmup_test.cc
@@ -26,10 +26,14 @@
  public:
   static constexpr size_t kInstances = 146;
   static constexpr size_t kEndpoints = 404;
-  static constexpr Millis kAnswerTime{100};
-
-  /** The first `warm_count` endpoints, which make up failure domain "a", are in warm-up. */
-  IsolatedInstances(double warmup_rate, size_t warm_count) : m_warm_count(warm_count) {
+  static constexpr Millis kAnswerTime{20};
+
+  /**
+   * The first `warm_count` endpoints are in warm-up. Failure domain "a" has the first `a_count` endpoints; "b" and "c"
+   * share the others.
+   */
+  IsolatedInstances(double warmup_rate, size_t warm_count, size_t a_count = 143)
+      : m_warm_count(warm_count), m_a_count(a_count) {
     Lists lists = SingleInstance::MakeLists("s");
     lists.services[0].warmup_rate = warmup_rate;
     const auto shared_lists = std::make_shared<const Lists>(std::move(lists));
@@ -60,7 +64,7 @@
     }
   }
 
-  /** Sends `rate` calls a second for `time`, each to a random instance. */
+  /** Sends `rate` calls a second for `time`, most of them to the instances of failure domain "a". */
   void Run(Millis time, size_t rate) {
     const TimePoint end = m_now + time;
     constexpr Millis kStep{5};
@@ -77,7 +81,7 @@
           Handle(i, Event::Tick{m_now});
       }
       for (due += static_cast<double>(rate) * std::chrono::duration<double>(kStep).count(); due >= 1.0; due -= 1.0)
-        SendCall(m_random() % kInstances);
+        SendCall(RandomInstance());
     }
   }
 
@@ -111,13 +115,10 @@
   size_t unanswered_odds = 0;
 
  private:
-  /** Failure domain "a" has 143 endpoints, "b" 131 and "c" 130. */
-  static std::string DomainOf(size_t endpoint) {
-    constexpr size_t kFirstOfB = 143;
-    constexpr size_t kFirstOfC = 274;
-    if (endpoint < kFirstOfB)
+  std::string DomainOf(size_t endpoint) const {
+    if (endpoint < m_a_count)
       return "a";
-    return endpoint < kFirstOfC ? "b" : "c";
+    return endpoint % 2 == 0 ? "b" : "c";
   }
 
   static Member MemberAt(size_t index) {
@@ -140,6 +141,12 @@
     return members;
   }
 
+  size_t RandomInstance() {
+    // Every third one is in failure domain "a".
+    const size_t instance = m_random() % kInstances;
+    return m_random() % 2 == 0 ? instance : instance / 3 * 3;
+  }
+
   void SendCall(size_t instance) {
     Event::CallArrived event;
     event.now = m_now;
@@ -210,6 +217,7 @@
   TimePoint m_now{std::chrono::hours(1)};
   std::mt19937_64 m_random{1};
   size_t m_warm_count;
+  size_t m_a_count;
   std::vector<std::unique_ptr<State>> m_states;
   std::multimap<TimePoint, std::function<void()>> m_scheduled;
   std::map<uint64_t, CallHandle> m_handles;
@@ -219,6 +227,9 @@
   size_t m_dispatch_count = 0;
 };
 
+/** Enough to exceed the bounds below at each endpoint in warm-up if nothing limited its load. */
+constexpr size_t kCallsPerSecond = 12'000;
+
 size_t BoundOf(double rate) {
   return static_cast<size_t>(rate * 1.5 + 8);
 }
@@ -229,23 +240,36 @@
     CAPTURE(rate);
     IsolatedInstances fleet(rate, 143);
     fleet.unanswered_odds = 10;
-    fleet.Run(Millis(8'000), 1'800);
+    fleet.Run(Millis(4'000), kCallsPerSecond);
     CHECK(fleet.MostInOneSecond(TimePoint()) <= BoundOf(rate));
     // The limit keeps few calls off: they find other endpoints, and those in warm-up do take part.
-    CHECK(fleet.DispatchCount() > 8 * 1'800 * 95 / 100);
+    CHECK(fleet.DispatchCount() > 4 * kCallsPerSecond * 95 / 100);
     CHECK(fleet.WarmRequests() > 143);
   }
 }
 
+// Guards against a limit that takes every endpoint for one of equally many instances: all instances of a small failure
+// domain use the same few endpoints.
+TEST_CASE("146 instances without contact beside a small failure domain whose 20 endpoints are all in warm-up") {
+  for (const double rate : {1.0, 4.0, 20.0}) {
+    CAPTURE(rate);
+    IsolatedInstances fleet(rate, 20, 20);
+    fleet.unanswered_odds = 10;
+    fleet.Run(Millis(4'000), kCallsPerSecond);
+    CHECK(fleet.MostInOneSecond(TimePoint()) <= BoundOf(rate));
+    CHECK(fleet.WarmRequests() > 20);
+  }
+}
+
 // Guards against instances that learn of a new warm-up only from the store: the endpoints would get their usual load
 // until then.
 TEST_CASE("143 endpoints that go back to warm-up while they run calls of 146 instances") {
   constexpr double kRate = 4.0;
   IsolatedInstances fleet(kRate, 0);
-  fleet.Run(Millis(4'000), 1'800);
+  fleet.Run(Millis(2'000), kCallsPerSecond);
   fleet.StartWarmup(143);
   const TimePoint started = fleet.Now();
-  fleet.Run(Millis(6'000), 1'800);
+  fleet.Run(Millis(4'000), kCallsPerSecond);
   // Requests that were chosen before the endpoint stated its warm-up arrive within the first moments.
   CHECK(fleet.MostInOneSecond(started + Millis(100)) <= BoundOf(kRate));
 }
--- a/libs/entry/tests/fleet_link_test.cc
+++ b/libs/entry/tests/fleet_link_test.cc
@@ -170,6 +170,44 @@
   REQUIRE(fixture.engine.GetState().KnownEndpoints().size() == 1);
 }
 
+// Guards against evacuations that are read and not passed on, alone or beside plans that cannot be decoded.
+TEST_CASE("the evacuated failure domains of a read are in force, also beside unusable plans") {
+  Fixture fixture;
+  PlansSnapshot read;
+  read.as_of = 40;
+  read.plans_status = MakeError(ErrorKind::kInvalidSyntax, "op/config: no JSON", "mend it");
+  read.evacuations = {40, {"a"}};
+  REQUIRE_CALL(*fixture.store, ReadPlans(ReadConsistency::kLinearizable))
+      .RETURN([](PlansSnapshot snapshot) -> Reply<PlansSnapshot> { co_return snapshot; }(read));
+  fixture.link.OnEffect(Effect::PollStore{false});
+  fixture.context.run();
+  const State& state = fixture.engine.GetState();
+  CHECK(state.EvacuatedDomains() == std::vector<std::string>{"a"});
+  CHECK(state.EvacuationsAsOf() == 40);
+  CHECK(state.Generation() == 0);
+  // Unusable plans do not confirm those in force.
+  CHECK(state.ListsAge(fixture.clock.Now()) ==
+        std::chrono::duration_cast<std::chrono::milliseconds>(fixture.clock.Now() - TimePoint()));
+}
+
+// Guards against an instance that takes the endpoints from a peer and sends those in warm-up their usual load.
+TEST_CASE("the warm-up of endpoints survives the exchange between peers, and peers of an earlier version state none") {
+  EndpointChange endpoint;
+  endpoint.row = {"e", "s", "127.0.0.1:80", "a", 6, 0};
+  endpoint.revision = 30;
+  endpoint.warmup = std::chrono::milliseconds(2'500);
+  std::string text = EncodeEndpoints({endpoint}, 33, std::chrono::milliseconds(100));
+  const auto decoded = DecodeEndpoints(text);
+  REQUIRE(decoded.ok());
+  CHECK(decoded->changes.at(0).warmup == endpoint.warmup);
+  const std::string field = ",\"warmup_ms\":2500";
+  REQUIRE(text.find(field) != std::string::npos);
+  text.erase(text.find(field), field.size());
+  const auto earlier = DecodeEndpoints(text);
+  REQUIRE(earlier.ok());
+  CHECK(earlier->changes.at(0).warmup == std::chrono::milliseconds(0));
+}
+
 TEST_CASE("malformed endpoints from a peer are an error, not an empty list") {
   for (const char* text : {"", "{}", "[1]", R"({"as_of":1,"age_ms":0,"endpoints":[{"name":"e"}]})"}) {
     CAPTURE(text);
--- a/libs/peers/tests/gossip_codec_test.cc
+++ b/libs/peers/tests/gossip_codec_test.cc
@@ -104,6 +104,31 @@
   CHECK(decoded->endpoint_changes.front().row.name == longest);
 }
 
+// Guards against evacuations that make datagrams too long: no peer would learn of them, or of anything else. The bounds
+// are those of the store client.
+TEST_CASE("the longest set of evacuated failure domains fits into a datagram beside all else") {
+  for (const size_t count : {1u, 16u}) {
+    GossipMessage message = FullMessage();
+    message.evacuations.as_of = ~0ULL;
+    message.evacuations.failure_domains.assign(count, std::string(count == 1 ? 192 : 240 / count, 'x'));
+    const std::string bytes = EncodeGossip(message);
+    CHECK(bytes.size() < kMaxGossipBytes);
+    const auto decoded = DecodeGossip(Bytes(bytes));
+    REQUIRE(decoded.ok());
+    CHECK(decoded->evacuations.failure_domains == message.evacuations.failure_domains);
+    GossipMessage changes;
+    changes.sender = FullMessage().sender;
+    changes.evacuations = message.evacuations;
+    EndpointChange& change = changes.endpoint_changes.emplace_back();
+    const std::string longest(192, 'y');
+    change.row = {longest, longest, "255.255.255.255:65535", longest, 100'000, 0};
+    change.incarnation = ~0ULL;
+    change.revision = ~0ULL;
+    change.warmup = std::chrono::hours(1);
+    CHECK(EncodeGossip(changes).size() < kMaxGossipBytes);
+  }
+}
+
 TEST_CASE("decoding a damaged datagram gives an error or a message within the limits") {
   const std::string bytes = EncodeGossip(FullMessage());
   const bool passed = rc::check("damaged", [&] {
--- a/tests/process/platform_test.py
+++ b/tests/process/platform_test.py
@@ -146,6 +146,30 @@
     run_under_load(11, write_odd_config)
 
 
+# Guards against work for an evacuated failure domain, also from an instance that starts during the evacuation, and against
+# an evacuation that stays in force after the key was removed.
+def test_platform_an_evacuated_failure_domain_gets_no_work():
+    async def evacuate(fleet):
+        def runs_in_zone(since):
+            names = {endpoint.name for endpoint in fleet.endpoints.values() if endpoint.zone == "a"}
+            return [run for run in fleet.runs if run.endpoint in names and run.arrived_at > since]
+
+        assert runs_in_zone(0.0)
+        await fleet.store.put("op/evacuate/a", {})
+        evacuated_at = time.monotonic()
+        await asyncio.sleep(2.5)
+        await soak_faults.planned_stop(fleet, random.Random(1))
+        await fleet.wait_ready()
+        await asyncio.sleep(2.0)
+        late = runs_in_zone(evacuated_at + 2.4)
+        assert not late, (len(late), late[0].request_id)
+        await fleet.store.delete("op/evacuate/a")
+        taken_back_at = time.monotonic()
+        await asyncio.sleep(5.0)
+        assert runs_in_zone(taken_back_at), "nothing is sent to the failure domain any more"
+    run_under_load(12, evacuate)
+
+
 def test_platform_planned_stops_cut_nothing():
     async def stop(fleet):
         for seed in range(2):
