--- a/libs/core/tests/fleet_fuzz_test.cc
+++ b/libs/core/tests/fleet_fuzz_test.cc
@@ -174,6 +174,17 @@
   }
 };
 
+struct EvacuateDomain : Step {
+  bool evacuated = *rc::gen::arbitrary<bool>();
+  void Act(PlatformFleetSimulation& simulation) const override {
+    simulation.SetEvacuated(pick % 2 == 0 ? "a" : "b", evacuated);
+  }
+};
+
+struct StartWarmup : Step {
+  void Act(PlatformFleetSimulation& simulation) const override { simulation.StartWarmup(Address()); }
+};
+
 struct LongDelay : Step {
   void Act(PlatformFleetSimulation& simulation) const override {
     simulation.Advance(Millis(static_cast<int>(pick) * 6));
@@ -184,14 +195,15 @@
 uint64_t CheckRandomFailures(bool with_keys) {
   const auto seed = *rc::gen::inRange<uint64_t>(1, 1'000'000);
   auto simulation = std::make_unique<PlatformFleetSimulation>(seed, with_keys);
-  rc::state::check(Model(), *simulation,
-                   rc::state::gen::execOneOfWithArgs<
-                       SendCalls, SendCalls, SendCalls, SendCalls, DisconnectCaller, PauseInstance, ResumeInstance,
-                       ResumeInstance, KillInstance, RestartInstance, RestartInstance, RestartAllInstances,
-                       StopInstance, IsolateInstance, ChangeStoreMode, ChangeStoreMode, TakeStoreDown, BringStoreUp,
-                       BringStoreUp, RestoreStore, ChangeReadLag, CompactStoreHistory, MoveRoute, MoveRoute,
-                       DrainEndpoint, LeaveWithoutNotice, HoldOffRequests, CrashEndpoint, StartEndpoint, StartEndpoint,
-                       RestartEndpoint, WriteDamagedEntry, LoseAnswers, ChangeGossipDropRate, LongDelay, LongDelay>());
+  rc::state::check(
+      Model(), *simulation,
+      rc::state::gen::execOneOfWithArgs<
+          SendCalls, SendCalls, SendCalls, SendCalls, DisconnectCaller, PauseInstance, ResumeInstance, ResumeInstance,
+          KillInstance, RestartInstance, RestartInstance, RestartAllInstances, StopInstance, IsolateInstance,
+          ChangeStoreMode, ChangeStoreMode, TakeStoreDown, BringStoreUp, BringStoreUp, RestoreStore, ChangeReadLag,
+          CompactStoreHistory, MoveRoute, MoveRoute, DrainEndpoint, LeaveWithoutNotice, HoldOffRequests, CrashEndpoint,
+          StartEndpoint, StartEndpoint, RestartEndpoint, WriteDamagedEntry, LoseAnswers, ChangeGossipDropRate,
+          EvacuateDomain, EvacuateDomain, StartWarmup, LongDelay, LongDelay>());
   simulation->RecoverAndCheck();
   RC_ASSERT(simulation->FirstViolation() == std::string());
   return simulation->EffectsHash();
--- a/libs/entry/src/entry_instance.cc
+++ b/libs/entry/src/entry_instance.cc
@@ -384,6 +384,8 @@
   set("sassafras_quarantined_requests", state.QuarantineCount());
   set("sassafras_calls_rejected_for_keys_total", state.CallsRejectedForKeys());
   set("sassafras_keys_confirmed_age_ms", static_cast<uint64_t>(state.KeyConfirmationAge(m_engine.Now()).count()));
+  set("sassafras_evacuated_failure_domains", state.EvacuatedDomains().size());
+  set("sassafras_warmup_refusals_total", state.WarmupRefusals());
   set("sassafras_table_bytes", state.TableBytes());
   set("sassafras_quota_tokens_requested_total", state.Quotas().tokens_requested);
   set("sassafras_quota_tokens_granted_total", state.Quotas().tokens_granted);
--- a/libs/entry/src/fleet_link.cc
+++ b/libs/entry/src/fleet_link.cc
@@ -84,15 +84,27 @@
   m_engine.Post(Event::ListsReceived{m_engine.Now(), snapshot.generation, snapshot.lists});
 }
 
+void FleetLink::PostEvacuations(const PlansSnapshot& snapshot, ReadConsistency consistency) {
+  if (snapshot.evacuations.as_of > 0)
+    m_engine.Post(Event::EvacuationsReceived{m_engine.Now(), snapshot.evacuations,
+                                             consistency == ReadConsistency::kSerializable});
+}
+
 void FleetLink::ProcessPlans(const PlansSnapshot& snapshot, ReadConsistency consistency, TimePoint started_at) {
+  PostEvacuations(snapshot, consistency);
   m_plans_as_of = std::max(m_plans_as_of, snapshot.as_of);
+  if (!snapshot.plans_status.ok()) {
+    Log(LogLevel::kError, "plans_unusable", {{"error", MessageOf(snapshot.plans_status)}});
+    m_stored_plans_unusable = consistency == ReadConsistency::kLinearizable || m_stored_plans_unusable;
+    return;
+  }
   if (snapshot.generation > m_engine.GetState().Generation())
     PutPlansInForce(snapshot, Deflate(snapshot.document),
                     consistency == ReadConsistency::kLinearizable ? "store" : "store, may lag");
   if (consistency != ReadConsistency::kLinearizable)
     return;
-  if (snapshot.is_unusable || snapshot.generation > 0)
-    m_stored_plans_unusable = snapshot.is_unusable;
+  if (snapshot.generation > 0)
+    m_stored_plans_unusable = false;
   m_engine.Post(Event::StoreConfirmed{m_engine.Now(), m_engine.GetState().Generation(),
                                       m_stored_plans_unusable ? TimePoint() : started_at});
 }
@@ -254,8 +266,8 @@
       snapshot = co_await m_store->WatchPlans(m_plans_as_of, WatchTimeout());
     RecordResult(snapshot.status());
     if (snapshot.ok() && snapshot->as_of > 0) {
-      m_watch_failures = 0;
       ProcessPlans(*snapshot, ReadConsistency::kLinearizable, started_at);
+      m_watch_failures = 0;
       continue;
     }
     co_await Sleep(StoreRetryDelay(m_watch_failures++));
--- a/libs/entry/src/log_record_writer.cc
+++ b/libs/entry/src/log_record_writer.cc
@@ -35,6 +35,8 @@
     {LogRecord::Kind::kAccountWithinQuota, LogLevel::kInfo, "account_within_quota", "account", "rejected"},
     {LogRecord::Kind::kKeysNotConfirmed, LogLevel::kWarning, "keys_not_confirmed", "instance", "age_ms"},
     {LogRecord::Kind::kKeysConfirmed, LogLevel::kInfo, "keys_confirmed", "instance", "age_ms"},
+    {LogRecord::Kind::kDomainEvacuated, LogLevel::kWarning, "domain_evacuated", "failure_domain", "as_of"},
+    {LogRecord::Kind::kEvacuationEnded, LogLevel::kInfo, "evacuation_ended", "failure_domain", "as_of"},
 });
 
 }  // namespace
@@ -42,6 +44,16 @@
 void WriteLogRecordLine(const LogRecord& record) {
   const Row& row = kRows[static_cast<size_t>(record.kind)];
   const std::string version = std::to_string(record.version);
+  const bool is_evacuation =
+      record.kind == LogRecord::Kind::kDomainEvacuated || record.kind == LogRecord::Kind::kEvacuationEnded;
+  if (is_evacuation) {
+    Log(row.level, row.event,
+        {{row.subject, record.subject},
+         {row.version, version},
+         {"source", record.source},
+         {"age_ms", std::to_string(record.age.count())}});
+    return;
+  }
   if (record.lifetime.count() == 0) {
     Log(row.level, row.event, {{row.subject, record.subject}, {row.version, version}, {"source", record.source}});
     return;
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -56,6 +56,10 @@
      "fleet.WorstWindow(0"),
     ("fairness_removed", CORE_SOURCES + "held_calls.cc", "service.fairness.RankOf(call.account)",
      "AccountFairness::Rank()", "load.CountsOf(i).Share()"),
+    ("evacuation_ignored_at_dispatch", CORE_SOURCES + "state.cc", "state.active && !state.leaving && !state.evacuated",
+     "state.active && !state.leaving", "AcceptsCalls(dispatch.endpoint)"),
+    ("warmup_limit_removed", CORE_SOURCES + "selection.cc", "  return !limited;", "  return true;",
+     "MostInOneSecond"),
     ("lose_waiting_call", CORE_SOURCES + "dispatch.cc", "queue.Push(skipped[i]);", "(void)skipped[i];", "never"),
 ]
 
