Answers: only 200 to 599 is a status, and a malformed answer is retried for idempotent calls

Cause: the HTTP parser takes any three digits. Before, 000, 099, 600 and 999 were passed on to callers and the connection was kept, and 199 with the fields of an answer was passed on. A 1xx without an answer cost idempotent calls their deadline. Probes took over the load in such answers, and replies of the store and of peers were read. Other forms (two or four digits, a sign, text, HTTP/0.9, HTTP/2.0, a second status line, 1xx without end) already gave 502, without a try elsewhere.

Change: net/http_status.h says which statuses are final and which interim; 101 is neither. Any other ends the attempt as malformed, counts as a failure and closes the connection. A malformed answer of which nothing reached the caller is retried for idempotent calls within the budgets. Their first attempt waits half of its time left for what follows an interim response.

Not run: net, processes, mutants.

--- a/libs/core/src/attempts.cc
+++ b/libs/core/src/attempts.cc
@@ -44,7 +44,8 @@
 bool TryAcquireRetry(StateParts& parts, const CallState& call, AttemptResult result, TimePoint now) {
   const PlanState& plan = parts.At(call.plan);
   const bool repeatable = plan.config.repeat == Repeat::kSafe || !call.may_have_run;
-  const bool retryable = IsKnownNotRun(result) || result == AttemptResult::kBroken;
+  const bool no_answer = result == AttemptResult::kBroken || result == AttemptResult::kMalformed;
+  const bool retryable = IsKnownNotRun(result) || no_answer;
   if (!repeatable || !retryable || !call.replayable)
     return false;
   if (call.attempts >= MaxAttempts(plan.config) || now >= call.deadline)
--- a/libs/entry/src/attempt.cc
+++ b/libs/entry/src/attempt.cc
@@ -9,6 +9,7 @@
 #include "engine.h"
 #include "entry/http_dialect.h"
 #include "net/http_client.h"
+#include "net/http_status.h"
 #include "read_deadline.h"
 #include "upstream_headers.h"
 #include "upstream_pool.h"
@@ -207,8 +208,18 @@
     m_response->body_limit(boost::none);
     m_response->skip(head_request);
     co_await http::async_read_header(m_connection->stream, m_connection->buffer, *m_response, AwaitWithError(error));
-    if (error || http::to_status_class(m_response->get().result()) != http::status_class::informational)
+    if (error)
+      co_return error;
+    const unsigned status = m_response->get().result_int();
+    if (IsFinalStatus(status)) {
+      m_awaits_final_response = false;
+      m_connection->stream.expires_at(m_target.deadline);
       co_return error;
+    }
+    if (!IsInterimStatus(status))
+      break;
+    if (!std::exchange(m_awaits_final_response, true))
+      LimitWaitAfterInterim();
   }
   co_return http::error::bad_status;
 }
@@ -257,11 +268,19 @@
   load.hold_off = {};
 }
 
+void Attempt::LimitWaitAfterInterim() {
+  // No request asks for interim responses (Expect is not passed on), so this one may come from a failing endpoint.
+  if (!m_exchange.MayTryElsewhere())
+    return;
+  const TimePoint now = m_engine.Now();
+  m_connection->stream.expires_at(now + (m_target.deadline - now) / 2);
+}
+
 AttemptResult Attempt::ResultForError(const error_code& error) const {
   if (m_cancelled)
     return AttemptResult::kCancelled;
   if (error == beast::error::timeout || m_engine.Now() >= m_target.deadline)
-    return AttemptResult::kTimedOut;
+    return m_awaits_final_response ? AttemptResult::kMalformed : AttemptResult::kTimedOut;
   const bool transport_error = error == http::error::end_of_stream || error == http::error::partial_message ||
                                error.category() != http::make_error_code(http::error::end_of_stream).category();
   return transport_error ? AttemptResult::kBroken : AttemptResult::kMalformed;
--- a/libs/entry/src/attempt.h
+++ b/libs/entry/src/attempt.h
@@ -46,6 +46,8 @@
   asio::awaitable<void> WriteToCaller(http::response_serializer<http::buffer_body>& serializer);
   /** Reads the load report in the response head, and passes on at once that the endpoint takes no more requests. */
   void ReadLoad(ResponseKind kind);
+  /** Shortens the wait for the final response to an idempotent call, so that another endpoint can answer in time. */
+  void LimitWaitAfterInterim();
   AttemptResult ResultForError(const error_code& error) const;
   void ReturnConnectionIfReusable();
   void StartRecording(const http::response<http::buffer_body>& answer);
@@ -61,6 +63,8 @@
   std::string m_body;
   bool m_cancelled = false;
   bool m_request_fully_sent = false;
+  /** Whether an interim response was read and the final one was not. */
+  bool m_awaits_final_response = false;
   /** Response to record for the idempotency key; null if it is not recorded or has grown too large. */
   std::shared_ptr<RecordedAnswer> m_recording;
   TimePoint m_started_at{};
--- a/libs/entry/src/call_exchange.cc
+++ b/libs/entry/src/call_exchange.cc
@@ -46,6 +46,7 @@
                           const Idempotency& idempotency) {
   m_plan = plan;
   m_repeat_safe = plan.IsValid() && m_engine.GetState().PlanConfig(plan).repeat == Repeat::kSafe;
+  m_max_attempts = plan.IsValid() ? m_engine.GetState().PlanConfig(plan).max_attempts : 0;
   m_ticket = m_engine.Register(*this);
   Event::CallArrived event;
   m_submitted_at = m_engine.Now();
@@ -143,6 +144,7 @@
   target.record_answer = dispatch.record_answer;
   auto attempt = std::make_shared<Attempt>(*this, m_engine, m_pool, m_dialect, std::move(target));
   m_attempts.push_back(attempt);
+  ++m_attempts_made;
   if (dispatch.hedge_at != TimePoint::max())
     ScheduleHedge(dispatch.hedge_at);
   asio::co_spawn(m_caller->stream.get_executor(), RunAttempt(std::move(attempt)), asio::detached);
--- a/libs/entry/src/call_exchange.h
+++ b/libs/entry/src/call_exchange.h
@@ -95,6 +95,8 @@
   void Complete(Completion completion);
   bool HasRunningAttempts() const { return !m_attempts.empty(); }
   bool IsRepeatSafe() const { return m_repeat_safe; }
+  /** Whether the call may be retried at another endpoint after its first attempt, which is running. */
+  bool MayTryElsewhere() const { return m_repeat_safe && m_attempts_made == 1 && m_max_attempts > 1 && BodyComplete(); }
   bool ResponseStarted() const { return m_response_started; }
   void SetResponseStarted() { m_response_started = true; }
 
@@ -120,6 +122,8 @@
   std::string m_body;
   bool m_keep_alive = true;
   bool m_repeat_safe = false;
+  size_t m_max_attempts = 0;
+  size_t m_attempts_made = 0;
   TimePoint m_submitted_at{};
   /** Ticket from Engine::Register(); 0 before Submit(). */
   uint64_t m_ticket = 0;
--- a/libs/entry/src/prober.cc
+++ b/libs/entry/src/prober.cc
@@ -12,6 +12,7 @@
 #include "entry/http_dialect.h"
 #include "lists/endpoint.h"
 #include "net/http_client.h"
+#include "net/http_status.h"
 #include "upstream_connection.h"
 #include "upstream_pool.h"
 
@@ -92,8 +93,7 @@
     co_return error;
   const http::response<http::string_body>& response = parser.get();
   // After an interim response the final one still follows: the next request on the connection would receive it.
-  const bool interim = http::to_status_class(response.result()) == http::status_class::informational;
-  if (interim || m_dialect.IsMismatchedProbeResponse(response, name))
+  if (!IsFinalStatus(response.result_int()) || m_dialect.IsMismatchedProbeResponse(response, name))
     co_return http::error::bad_value;
   ended.load = m_dialect.ReadLoad(response);
   ended.load.unhealthy = response.result() != http::status::ok;
--- a/libs/entry/tests/answer_bytes_check.cc
+++ b/libs/entry/tests/answer_bytes_check.cc
@@ -5,6 +5,7 @@
 
 #include "call_fixture.h"
 #include "echoing_dialect.h"
+#include "net/http_status.h"
 
 namespace sassafras {
 namespace {
@@ -40,8 +41,7 @@
     if (!TakeResponse(bytes, parser))
       return std::nullopt;
     const auto id = parser.get()["Sassafras-Request-Id"];
-    const bool interim = http::to_status_class(parser.get().result()) == http::status_class::informational;
-    if (!interim && std::string_view(id.data(), id.size()) == kCallId)
+    if (!IsInterimStatus(parser.get().result_int()) && std::string_view(id.data(), id.size()) == kCallId)
       return SentAnswer{parser.get().result_int(), parser.get().body()};
   }
   return std::nullopt;
@@ -65,6 +65,8 @@
     return "the call was sent more than once";
   if (fixture.GetEngine().GetState().CallsInProgress() != 0)
     return "the call has not ended";
+  if (received.whole && !IsFinalStatus(received.status))
+    return "the caller received a status that is none";
   const bool success = received.status >= 200 && received.status < 300;
   if (!received.whole || !success)
     return {};
--- a/libs/net/src/http_client.cc
+++ b/libs/net/src/http_client.cc
@@ -11,6 +11,7 @@
 
 #include "base/error.h"
 #include "base/parse_number.h"
+#include "net/http_status.h"
 
 namespace sassafras {
 namespace {
@@ -114,6 +115,8 @@
   http::response_parser<http::string_body> parser;
   parser.body_limit(kMaxReplyBytes);
   co_await http::async_read(stream, buffer, parser, RedirectErrorTo(error));
+  if (!error && !IsFinalStatus(parser.get().result_int()))
+    error = http::error::bad_status;
   if (error)
     co_return ReplyLostError(address, error);
   HttpReply reply;
@@ -144,6 +147,8 @@
   parser.body_limit(boost::none);
   if (!error)
     co_await http::async_read_header(stream, buffer, parser, RedirectErrorTo(error));
+  if (!error && !IsFinalStatus(parser.get().result_int()))
+    error = http::error::bad_status;
   std::string pending;
   constexpr size_t kChunkBytes = 64u << 10u;
   std::string chunk(kChunkBytes, '\0');
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -41,7 +41,7 @@
     # One for each of the troubles that operators of similar systems report, as far as docs/PROOFS.md lists them.
     ("late_copy_to_next_caller", ENTRY_SOURCES + "upstream_pool.cc", "return error == asio::error::would_block;",
      "return true;", "fixture.Call(\"b\").body == \"b\""),
-    ("late_probe_answer_to_caller", ENTRY_SOURCES + "prober.cc", "if (interim || ", "if (", "health == a"),
+    ("late_probe_answer_to_caller", ENTRY_SOURCES + "prober.cc", "if (!IsFinalStatus(response.result_int()) || ", "if (", "health == a"),
     ("accept_queue_reset", ENTRY_SOURCES + "entry_instance.cc", "    AcceptWaiting(listener);\n", "",
      "received.starts_with"),
     ("older_endpoints_applied", CORE_SOURCES + "discovery.cc", "if (event.as_of < feed.as_of)", "if (false)",
@@ -50,6 +50,8 @@
      "CountOverdue"),
     ("cut_body_as_whole", ENTRY_SOURCES + "attempt.cc", "if (!m_response->is_done()) {", "if (false) {",
      "received.whole"),
+    ("status_of_any_three_digits", ENTRY_SOURCES + "attempt.cc", "if (IsFinalStatus(status))",
+     "if (!IsInterimStatus(status))", "fixture.Call(\"own\").status == 502"),
     ("interim_responses_without_end", ENTRY_SOURCES + "attempt.cc", "interim <= kMaxInterimResponses", "true",
      "sent < kBoundedBytes"),
     ("lose_waiting_call", CORE_SOURCES + "dispatch.cc", "queue.Push(skipped[i]);", "(void)skipped[i];", "never"),
