Full endpoints that do not answer: not blamed, and avoided by run-once calls

Cause: a timeout or reset at a full endpoint counted as a failure. Three in a row ejected it, and its load went to others that were full too. Run-once calls were sent to full endpoints and hung there until their deadline.

Change: such a timeout or reset marks the endpoint full and is no failure, nor does it make the request suspect.

Not run: processes, mutants, load with real endpoints.

--- a/libs/core/src/attempts.cc
+++ b/libs/core/src/attempts.cc
@@ -6,6 +6,7 @@
 #include "call_end.h"
 #include "dispatch.h"
 #include "endpoint_learning.h"
+#include "full_endpoints.h"
 #include "held_calls.h"
 #include "load_probing.h"
 #include "selection.h"
@@ -114,13 +115,6 @@
   UpdateRelativeLatency(parts.At(endpoint), normalized_us / mean, now);
 }
 
-/** Marks all slots of an endpoint as taken, because it refused a request without reporting its load. */
-void MarkFull(EndpointState& state, TimePoint now) {
-  state.reported_in_flight = std::max(state.reported_in_flight, state.slots);
-  state.own_in_flight_at_report = state.in_flight;
-  state.reported_at = now;
-}
-
 /** Ejects an endpoint whose address now belongs to another one, to allow time for the platform's update to arrive. */
 void EjectReassignedEndpoint(EndpointState& state, TimePoint now) {
   state.ejected_until = now + kReassignedAddressEjection;
@@ -145,6 +139,15 @@
   SpreadRumor(parts, {Kind::kQuarantine, fingerprint, 0, Quarantine::kQuarantineLifetime}, now);
 }
 
+/** Whether an attempt that got no answer says only that its endpoint was full; if so, marks the endpoint as full. */
+bool WasSilenceWhenFull(StateParts& parts, const Event::AttemptEnded& event, const CallState* call) {
+  const bool timed_out = event.result == AttemptResult::kTimedOut;
+  // With a load report the endpoint has begun to answer.
+  if (call == nullptr || event.load.present || (!timed_out && event.result != AttemptResult::kBroken))
+    return false;
+  return HandleSilenceWhenFull(parts, *call, event.endpoint, parts.At(event.endpoint).in_flight, timed_out, event.now);
+}
+
 /** Updates what is known about the endpoint of an ended attempt; `call` is null if the call has already ended. */
 void LearnFromAttempt(StateParts& parts, const Event::AttemptEnded& event, const CallState* call) {
   EndpointState& state = parts.At(event.endpoint);
@@ -153,6 +156,8 @@
   // Another endpoint at the same address reports nothing about this one.
   if (!event.wrong_endpoint)
     LearnFromLoadReport(parts, event.endpoint, event.load, event.now);
+  if (WasSilenceWhenFull(parts, event, call))
+    return;
   switch (event.result) {
     case AttemptResult::kAnswered:
       state.progress_at = event.now;
@@ -160,6 +165,7 @@
       UpdateRate(state.failure_rate, event.failure_status);
       if (call != nullptr) {
         LearnLatency(parts, *call, event.endpoint, event.now);
+        LearnQueue(*call, event.endpoint, state);
         parts.quarantine.RecordAnswer(call->fingerprint, event.now);
       }
       break;
--- a/libs/core/src/endpoint_learning.cc
+++ b/libs/core/src/endpoint_learning.cc
@@ -6,6 +6,7 @@
 
 #include <fmt/format.h>
 
+#include "full_endpoints.h"
 #include "state_parts.h"
 
 namespace sassafras {
@@ -78,6 +79,7 @@
   parts.endpoints.ApplyReport(endpoint, load, now);
   if (!load.present || !state.service.IsValid())
     return;
+  RecordOwnReport(parts, endpoint, load, now);
   const uint32_t others =
       load.in_flight > state.own_in_flight_at_report ? load.in_flight - state.own_in_flight_at_report : 0;
   UpdateAverage(parts.At(state.service).other_instances_load, static_cast<float>(others));
--- a/libs/core/src/endpoint_state.h
+++ b/libs/core/src/endpoint_state.h
@@ -41,6 +41,15 @@
   bool same_failure_domain = false;
   ServiceHandle service;
   TimePoint reported_at{};
+  /** Time of the last report by the endpoint itself, and whether it showed all slots taken. */
+  TimePoint own_report_at{};
+  bool own_report_full = false;
+  /** When an attempt at the full endpoint got no answer, if no report followed yet, and the incarnation at that time.
+   */
+  TimePoint silent_at{};
+  uint64_t silent_incarnation = 0;
+  /** Most requests beyond its slots with which the endpoint answered a request. */
+  uint32_t queue_seen = 0;
   /** Time of the last answer or refusal, or of the dispatch that ended an idle period. */
   TimePoint progress_at{};
   /** Start of the gradual increase to full load (slow start) by this instance; independent of `warmup_until`. */
--- a/libs/core/src/load_probing.cc
+++ b/libs/core/src/load_probing.cc
@@ -6,6 +6,7 @@
 #include "call_end.h"
 #include "dispatch.h"
 #include "endpoint_learning.h"
+#include "full_endpoints.h"
 #include "held_calls.h"
 #include "latency_estimate.h"
 #include "probe_results.h"
@@ -157,6 +158,15 @@
   if (has_estimate && estimate > kGoodEnoughFactor * expected &&
       HoldForBetter(parts, handle, endpoint, estimate, now, effects))
     return;
+  // At an endpoint without room the call might hang, and nobody could tell whether it ran.
+  if (NeedsCertainRoom(parts, call, now) && !(has_estimate && HasCertainRoom(parts, call, endpoint))) {
+    endpoint = BestEndpointWithRoom(parts, call, now);
+    if (endpoint.IsValid())
+      Dispatch(parts, handle, endpoint, now, effects);
+    else
+      EndRejected(parts, handle, Reason::kOverloaded, now, effects);
+    return;
+  }
   if (has_estimate && WouldWasteSlot(parts, call, endpoint, estimate, now))
     endpoint = BestProbedEndpoint(parts, call, kAllSlots, now, estimate);
   // This applies to retries after a refusal as well: with precedence they would make other calls late.
@@ -236,10 +246,12 @@
     const float utilization = UtilizationWithNextAttempt(parts.At(event.endpoint), event.load);
     call->probed_utilizations[index] = utilization;
     RecordProbedUtilization(parts.ServiceOf(*call), utilization, event.now);
-  } else if (!event.answered && !event.withdrawn) {
+  } else if (!event.answered && !event.withdrawn &&
+             !HandleUnansweredProbeWhenFull(parts, event.endpoint, call->probes_sent_at, event.now)) {
     RecordFailure(parts, event.endpoint, event.now);
   }
-  if (estimate <= kGoodEnoughFactor * expected && IsEligible(parts, *call, event.endpoint, event.now)) {
+  const bool has_room = !NeedsCertainRoom(parts, *call, event.now) || HasCertainRoom(parts, *call, event.endpoint);
+  if (has_room && estimate <= kGoodEnoughFactor * expected && IsEligible(parts, *call, event.endpoint, event.now)) {
     FinishProbing(parts, event.call, event.now, effects);
     return;
   }
--- a/libs/core/src/service_state.h
+++ b/libs/core/src/service_state.h
@@ -37,6 +37,14 @@
   /** Moving average of the share of probed endpoints that had no free slot, and the time of its last update. */
   float full_share = 0;
   TimePoint full_share_at{};
+  /**
+   * Number of times that a full endpoint left a request without an answer and was alive after it, and the time of the
+   * last update. It decays with time.
+   */
+  float silences_when_full = 0;
+  TimePoint silences_at{};
+  /** Requests beyond its slots that an endpoint can queue at most, as silences have shown. */
+  uint32_t queue_bound = UINT32_MAX;
   /** Moving average of the load of other instances at an endpoint, from load reports. */
   float other_instances_load = 0;
 
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -52,6 +52,8 @@
      "received.whole"),
     ("status_of_any_three_digits", ENTRY_SOURCES + "attempt.cc", "if (IsFinalStatus(status))",
      "if (!IsInterimStatus(status))", "fixture.Call(\"own\").status == 502"),
+    ("full_endpoint_blamed", CORE_SOURCES + "attempts.cc", "  if (WasSilenceWhenFull(parts, event, call))\n    return;\n", "",
+     "load.CountEjected() == 0"),
     ("interim_responses_without_end", ENTRY_SOURCES + "attempt.cc", "interim <= kMaxInterimResponses", "true",
      "sent < kBoundedBytes"),
     ("lose_waiting_call", CORE_SOURCES + "dispatch.cc", "queue.Push(skipped[i]);", "(void)skipped[i];", "never"),
