sassafrasctl check FILE: checks a configuration before it is sent to the platform

Cause: a configuration could only be tried by putting it in force. Values that instances replace, entries that never match and callers that a change turns away showed up afterwards.

Change: check FILE decodes a configuration with the instances' decoder and reports findings, differences from a file or from the version in force, and requests that would be rejected. Exit codes 0 clean, 1 findings, 2 unusable.

--- a/daemons/sassafrasctl/commands.cc
+++ b/daemons/sassafrasctl/commands.cc
@@ -12,6 +12,7 @@
 #include "apply.h"
 #include "base/error.h"
 #include "burn_report.h"
+#include "config_check.h"
 #include "ctl_options.h"
 #include "lists/lists.h"
 #include "lists/lists_document.h"
@@ -53,6 +54,8 @@
 }
 
 asio::awaitable<ExitCode> Commands::Check() {
+  if (!m_options.file.empty())
+    co_return co_await ConfigCheck(m_options, m_printer).Run();
   WorkingCopy copy(m_options.dir);
   const auto lists = copy.Load();
   if (!lists.ok())
--- a/daemons/sassafrasctl/ctl_options.h
+++ b/daemons/sassafrasctl/ctl_options.h
@@ -9,6 +9,10 @@
 /** Parsed command line of sassafrasctl. */
 struct CtlOptions {
   std::string command;
+  /** Configuration that `check` reads instead of the lists in `dir`; empty for none. */
+  std::string file;
+  /** Configuration that `check` compares `file` with; empty for that in force on the platform, if `platform` is set. */
+  std::string against;
   std::vector<std::string> platform;
   /** Addresses of the entry instances to query; empty for those in the platform's instance directory. */
   std::vector<std::string> instances;
--- a/daemons/sassafrasctl/exit_code.h
+++ b/daemons/sassafrasctl/exit_code.h
@@ -14,6 +14,9 @@
   kConflict = 5,
   kOutcomeUnknown = 6,
   kNotInForce = 7,
+  /** Of `check FILE`, which has three exit codes of its own: 0, and these. */
+  kFindings = 1,
+  kUnusable = 2,
 };
 
 /** Returns the exit code for the error kind of a failed status. */
--- a/daemons/sassafrasctl/main.cc
+++ b/daemons/sassafrasctl/main.cc
@@ -2,6 +2,7 @@
 #include <cstdlib>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include <absl/strings/str_split.h>
@@ -20,7 +21,8 @@
 constexpr const char* kUsage =
     "COMMAND\n"
     "Commands:\n"
-    "  check    check the lists in --dir\n"
+    "  check    check the lists in --dir; check FILE: a configuration before it is sent to the platform, compared\n"
+    "           with --against FILE or with that in force on --platform\n"
     "  show     fetch the stored lists into --dir, as the base of an edit\n"
     "  diff     show what an apply would change\n"
     "  apply    store the lists in --dir and wait until they are in force everywhere\n"
@@ -28,7 +30,8 @@
     "  status   show the state of every entry instance\n"
     "  burn     report service-level burn for each plan\n"
     "Exit codes: 0 done, 1 internal, 2 usage, 3 invalid input, 4 unreachable, 5 conflict or not accepted,\n"
-    "  6 outcome unknown, 7 accepted but not yet in force everywhere";
+    "  6 outcome unknown, 7 accepted but not yet in force everywhere\n"
+    "Exit codes of check FILE: 0 clean, 1 findings, 2 unusable";
 
 std::vector<std::string> Split(const std::string& text) {
   if (text.empty())
@@ -44,6 +47,7 @@
   char* author = nullptr;
   char* change_id = nullptr;
   char* output = nullptr;
+  char* against = nullptr;
   char* html = nullptr;
   int replace = 0;
   int wait_seconds = static_cast<int>(options.wait.count());
@@ -59,6 +63,8 @@
       {"wait", 'w', POPT_ARG_INT, &wait_seconds, 0, "seconds that apply waits for the change to be in force",
        "SECONDS"},
       {"output", 'o', POPT_ARG_STRING, &output, 0, "text (default) or json", "FORMAT"},
+      {"format", 0, POPT_ARG_STRING, &output, 0, "the same as --output", "FORMAT"},
+      {"against", 0, POPT_ARG_STRING, &against, 0, "configuration that check FILE compares with", "FILE"},
       {"html", 0, POPT_ARG_STRING, &html, 0, "also write the burn report as an HTML page", "FILE"},
       POPT_AUTOHELP POPT_TABLEEND};
   const std::unique_ptr<poptContext_s, poptContext (*)(poptContext)> context(
@@ -77,6 +83,7 @@
   options.author = take_string(author);
   options.change_id = take_string(change_id);
   options.html_path = take_string(html);
+  options.against = take_string(against);
   const std::string format = take_string(output);
   options.json = format == "json";
   options.replace = replace != 0;
@@ -95,10 +102,17 @@
     return false;
   }
   const char* command = poptGetArg(context.get());
+  const bool is_check = command != nullptr && std::string_view(command) == "check";
+  if (const char* file = is_check ? poptGetArg(context.get()) : nullptr)
+    options.file = file;
   if (command == nullptr || poptPeekArg(context.get()) != nullptr) {
     fmt::print(stderr, "sassafrasctl: name one command; see 'sassafrasctl --help'\n");
     return false;
   }
+  if (!options.against.empty() && options.file.empty()) {
+    fmt::print(stderr, "sassafrasctl: --against needs check FILE; see 'sassafrasctl --help'\n");
+    return false;
+  }
   options.command = command;
   return true;
 }
--- a/libs/store/include/store/plans_defects.h
+++ b/libs/store/include/store/plans_defects.h
@@ -2,6 +2,7 @@
 
 #include <cstddef>
 #include <string>
+#include <vector>
 
 namespace sassafras {
 
@@ -10,6 +11,8 @@
   size_t count = 0;
   /** Where the first one is, and what stands in for it. */
   std::string first;
+  /** All of them, up to a limit, for the operators' tool. */
+  std::vector<std::string> all;
 };
 
 }  // namespace sassafras
--- a/tests/process/command_line_test.py
+++ b/tests/process/command_line_test.py
@@ -1,6 +1,8 @@
 """The command line: exit codes, messages and help."""
 import json
+import pathlib
 import subprocess
+import tempfile
 
 from lab import BUILD, Lab
 
@@ -24,6 +26,37 @@
         assert "Usage:" in run(program, "--help").stdout, program
 
 
+def test_a_configuration_is_checked_before_it_is_sent():
+    """Guards against exit codes or fields that programs cannot rely on, and against keys on the screen."""
+    with tempfile.TemporaryDirectory() as folder:
+        folder = pathlib.Path(folder)
+        route = {"entryKind": "routes", "metadata": {"name": "r"},
+                 "spec": {"host": "h", "prefix": "/", "type": "safe", "timeoutS": 1, "service": "s"}}
+        service = {"entryKind": "services", "metadata": {"name": "s"}, "spec": {"healthPath": "/h"}}
+        account = {"entryKind": "tenants", "metadata": {"name": "t"}, "spec": {"apiKeys": ["hidden", "hidden"], "key": "hidden"}}
+
+        def write(name, version, *resources):
+            path = folder / name
+            path.write_text(json.dumps({"version": version, "resources": resources}))
+            return path
+
+        clean = write("clean", "00000001", route, service)
+        odd = write("odd", "00000002", service, account)
+        result = run("sassafrasctl", "check", clean)
+        assert result.returncode == 0 and "0 findings" in result.stdout, result
+        result = run("sassafrasctl", "check", odd, "--against", clean)
+        assert result.returncode == 1 and "would be rejected" in result.stdout, result
+        assert "hidden" not in result.stdout + result.stderr, result
+        result = run("sassafrasctl", "check", odd, "--against", clean, "--format", "json")
+        report = json.loads(result.stdout)
+        assert result.returncode == 1 and report["findings"] and report["rejections"] and report["changes"], result
+        assert {"file", "entry", "field", "message", "remedy"} == set(report["findings"][0]), report
+        for arguments in [[folder / "missing"], [folder], [clean, "--against", folder / "missing"], [write("none", "0")],
+                          [clean, "--platform", "127.0.0.1:1"], [clean, odd], ["--against", clean]]:
+            result = run("sassafrasctl", "check", *arguments)
+            assert result.returncode == 2 and result.stderr, (arguments, result)
+
+
 def test_status_burn_and_json():
     with Lab(base_port=26000) as lab:
         lab.start_caller("name=catalogue,path=/katalog,rate=100,work-us=1000", seconds=2).wait()
