--- a/libs/entry/src/call_exchange.cc
+++ b/libs/entry/src/call_exchange.cc
@@ -51,6 +51,7 @@
   const std::string_view api_key = state.HasAccounts() ? m_dialect.ReadApiKey(Head()) : std::string_view();
   const AccountHandle account = api_key.empty() ? AccountHandle() : state.FindAccount(api_key);
   m_log.SetAccount(account);
+  m_max_attempts = plan.IsValid() ? m_engine.GetState().PlanConfig(plan).max_attempts : 0;
   m_ticket = m_engine.Register(*this);
   Event::CallArrived event;
   m_submitted_at = m_engine.Now();
@@ -163,6 +164,7 @@
   target.record_answer = dispatch.record_answer;
   auto attempt = std::make_shared<Attempt>(*this, m_engine, m_pool, m_dialect, std::move(target));
   m_attempts.push_back(attempt);
+  ++m_attempts_made;
   if (dispatch.hedge_at != TimePoint::max())
     ScheduleHedge(dispatch.hedge_at);
   asio::co_spawn(m_caller->stream.get_executor(), RunAttempt(std::move(attempt)), asio::detached);
