Hedging: a limit set by the operators, a delay from the distribution of answers

- Limit of the plan, else of the service, else of the settings (hedge_limit, per cent of calls).
Each instance spends what its own calls earn plus its share of a slack of 20 hedges of the fleet; a share that was too large is owed.
- Delay from a histogram of Boost.Histogram, 0.8 KB a plan, in place of UpdateP95().
- No hedge while the service is slow as a whole, while calls wait or free slots are scarce, to an endpoint near the knee, in a suspect failure domain, for a suspected request, or too late for its deadline.
- Counters of won, cancelled, refused and held-back hedges and of extra work; outcome in the call's log line; refusals in the log at most once a minute and plan.

--- a/libs/core/include/core/event.h
+++ b/libs/core/include/core/event.h
@@ -184,6 +184,7 @@
     double retry_slack = 0;
     std::chrono::milliseconds address_ttl{};
     std::chrono::milliseconds linger_limit{};
+    double hedge_limit = 0;
   };
   struct StopRequested {
     TimePoint now;
--- a/libs/core/include/core/log_record.h
+++ b/libs/core/include/core/log_record.h
@@ -22,11 +22,14 @@
     kRequestQuarantined,
     kWatching,
     kNotWatching,
+    /** Hedges of a plan were not sent because the operators' limit was used up; at most one record a minute. */
+    kHedgesRefused,
   };
   Kind kind = Kind::kEndpointServing;
-  /** Name of an endpoint, of the first of several members or of this instance, or the fingerprint of a request. */
+  /** Name of an endpoint, of the first of several members, of this instance or of a plan, or the fingerprint of a
+   * request. */
   std::string subject;
-  /** Revision of the store, incarnation or number of members, depending on `kind`; 0 if not applicable. */
+  /** Revision of the store, incarnation or number of members or hedges, depending on `kind`; 0 if not applicable. */
   uint64_t version = 0;
   /** How long the change holds; zero if indefinitely. */
   std::chrono::milliseconds lifetime{};
--- a/libs/core/include/core/state.h
+++ b/libs/core/include/core/state.h
@@ -15,6 +15,7 @@
 
 struct CallerLimits;
 struct Endpoint;
+struct HedgeCounters;
 struct StateParts;
 struct Plan;
 struct PlanCounters;
@@ -92,6 +93,8 @@
   size_t PlanCount() const;
   /** Counters of a plan since the start of the process. */
   const PlanCounters& Totals(PlanHandle plan) const;
+  /** Hedges of a plan since the start of the process. */
+  const HedgeCounters& Hedges(PlanHandle plan) const;
   /** Counters of a plan over the last `window`, at most one hour, with a resolution of ten seconds. */
   PlanCounters Recent(PlanHandle plan, std::chrono::seconds window, TimePoint now) const;
 
--- a/libs/core/src/attempt_budget.h
+++ b/libs/core/src/attempt_budget.h
@@ -23,9 +23,10 @@
     m_tokens = std::min(m_tokens, max_tokens);
   }
   void Earn() { m_tokens = std::min(m_limit, m_tokens + m_earn); }
+  bool CanSpend(double cost) const { return m_tokens >= cost; }
   /** Takes `cost` tokens if available; returns whether it did. */
   bool Spend(double cost) {
-    if (m_tokens < cost)
+    if (!CanSpend(cost))
       return false;
     m_tokens -= cost;
     return true;
--- a/libs/core/src/attempts.cc
+++ b/libs/core/src/attempts.cc
@@ -6,16 +6,13 @@
 #include "call_end.h"
 #include "dispatch.h"
 #include "endpoint_learning.h"
+#include "hedge_policy.h"
 #include "held_calls.h"
-#include "load_probing.h"
-#include "selection.h"
 #include "state_parts.h"
 
 namespace sassafras {
 namespace {
 
-using Stage = CallState::Stage;
-
 constexpr double kRetryCost = 1.0;
 /** Time for which an endpoint is ejected after another endpoint answered at its address. */
 constexpr std::chrono::seconds kReassignedAddressEjection{5};
@@ -58,19 +55,6 @@
   return service.retry_budget.Spend(kRetryCost) || service.hedge_budget.Spend(kRetryCost);
 }
 
-/**
- * Updates a running estimate of the 95th percentile: each sample above it raises it by 19 steps, each one below lowers
- * it by one, so that it settles where 1 in 20 samples is above.
- */
-void UpdateP95(float& estimate, float sample) {
-  constexpr float kStep = 0.005F;
-  constexpr float kUpSteps = 19.0F;
-  if (estimate <= 0.0F)
-    estimate = sample;
-  else
-    estimate *= sample > estimate ? 1.0F + kUpSteps * kStep : 1.0F - kStep;
-}
-
 /** Updates the moving average of the endpoint's latency relative to its service; `ratio` is the new sample. */
 void UpdateRelativeLatency(EndpointState& state, float ratio, TimePoint now) {
   constexpr float kWeight = 0.1F;
@@ -99,8 +83,7 @@
   // Divides by the slowdown that the endpoint had last reported at the start of the attempt: the slowdown changes many
   // times a second.
   const float normalized_us = micros / call.reported_slowdowns[index];
-  PlanState& plan = parts.At(call.plan);
-  UpdateP95(plan.p95_us, micros);
+  const PlanState& plan = parts.At(call.plan);
   UpdateAverage(parts.At(endpoint).latency_us, normalized_us);
   ServiceState& service = parts.ServiceOf(call);
   float& mean = service.LatencyFor(plan.config.work);
@@ -212,28 +195,12 @@
   LearnAvailability(parts, event.endpoint, event.load, event.now);
 }
 
-void OnHedgeDue(StateParts& parts, const Event::HedgeDue& event, Effects& effects) {
-  CallState* call = parts.calls.Find(event.call);
-  if (call == nullptr || call->stage != Stage::kRunning || call->attempts_outstanding != 1)
-    return;
-  PlanState& plan = parts.At(call->plan);
-  if (!MayHedge(parts, *call, plan) || parts.quarantine.IsSuspect(call->fingerprint))
-    return;
-  if (parts.options.ask_first) {
-    call->probing_for_hedge = StartLoadProbing(parts, event.call, event.now, effects);
-    return;
-  }
-  Selector selector(parts, plan, *call, event.now);
-  const EndpointHandle endpoint = selector.Choose(parts.options.selection);
-  if (endpoint.IsValid())
-    Hedge(parts, event.call, endpoint, event.now, effects);
-}
-
 void OnAttemptEnded(StateParts& parts, const Event::AttemptEnded& event, Effects& effects) {
   CallState* call = parts.calls.Find(event.call);
   LearnFromAttempt(parts, event, call);
   const ServiceHandle service = parts.At(event.endpoint).service;
   if (call != nullptr) {
+    LearnForHedging(parts, *call, event);
     if (call->attempts_outstanding > 0)
       --call->attempts_outstanding;
     if (!IsKnownNotRun(event.result))
--- a/libs/core/src/attempts.h
+++ b/libs/core/src/attempts.h
@@ -8,7 +8,6 @@
 struct StateParts;
 
 /** Event handlers for attempts at endpoints. */
-void OnHedgeDue(StateParts& parts, const Event::HedgeDue& event, Effects& effects);
 void OnEndpointReported(StateParts& parts, const Event::EndpointReported& event);
 void OnAttemptEnded(StateParts& parts, const Event::AttemptEnded& event, Effects& effects);
 
--- a/libs/core/src/call_state.h
+++ b/libs/core/src/call_state.h
@@ -28,7 +28,10 @@
   /** Whether the current probes are for a hedge, sent while another attempt runs. */
   bool probing_for_hedge = false;
   bool replayable = true;
-  bool hedged = false;
+  /** Position of the hedge among the attempts; 0 if there is none. */
+  uint8_t hedge_index = 0;
+  /** Whether the call was counted for the share of late calls of its service. */
+  bool counted_late = false;
   /** Whether an attempt ended that may have run the request. */
   bool may_have_run = false;
   PlanHandle plan;
@@ -53,6 +56,8 @@
   std::array<float, kMaxAttempts> reported_slowdowns{};
   /** Share of the endpoint's slots in use including the attempt, from its probe answer; 0 if unknown. */
   std::array<float, kMaxAttempts> utilizations{};
+  /** A hedge is not sent to the failure domain of this endpoint; invalid for no bound. */
+  EndpointHandle avoid_domain_of;
   /** Endpoints probed for the next attempt, and its estimated duration at each; infinite without an answer. */
   std::array<EndpointHandle, kMaxProbed> probed;
   std::array<float, kMaxProbed> estimates_us{};
--- a/libs/core/src/calls.cc
+++ b/libs/core/src/calls.cc
@@ -6,6 +6,7 @@
 
 #include "call_end.h"
 #include "dispatch.h"
+#include "hedge_policy.h"
 #include "state_parts.h"
 
 namespace sassafras {
@@ -216,6 +217,7 @@
   const CallHandle handle = Accept(parts, event, effects);
   parts.calls.Find(handle)->record = record;
   parts.calls.Find(handle)->service = branch.service;
+  EarnHedgeAllowance(parts, *parts.calls.Find(handle));
   DispatchOrEnqueue(parts, handle, event.now, effects);
 }
 
--- a/libs/core/src/control.cc
+++ b/libs/core/src/control.cc
@@ -8,6 +8,7 @@
 #include "dispatch.h"
 #include "endpoint_learning.h"
 #include "gossip.h"
+#include "hedge_policy.h"
 #include "lists/lists.h"
 #include "lists_apply.h"
 #include "load_probing.h"
@@ -319,8 +320,10 @@
   options.retry_slack = event.retry_slack;
   options.address_ttl = event.address_ttl;
   options.linger_limit = event.linger_limit;
+  options.hedge_limit = event.hedge_limit;
   if (budgets_change)
     ResetBudgets(parts);
+  UpdateHedgeAllowances(parts);
 }
 
 void OnStopRequested(StateParts& parts, const Event::StopRequested& event, Effects& effects) {
--- a/libs/core/src/dispatch.cc
+++ b/libs/core/src/dispatch.cc
@@ -6,6 +6,7 @@
 #include <cmath>
 
 #include "call_end.h"
+#include "hedge_policy.h"
 #include "load_probing.h"
 #include "probe_results.h"
 #include "selection.h"
@@ -18,8 +19,6 @@
 
 /** Maximum number of calls at the head of a queue that are skipped because their own endpoints are full. */
 constexpr size_t kMaxSkippedCalls = 8;
-/** Minimum time between the dispatch of a call and its hedge. */
-constexpr std::chrono::milliseconds kMinHedgeDelay{1};
 
 bool IsRevalidating(const StateParts& parts, TimePoint now) {
   return now < parts.lists.revalidate_until;
@@ -77,14 +76,8 @@
   return std::min<size_t>(CallState::kMaxAttempts, plan.max_attempts);
 }
 
-bool MayHedge(const StateParts& parts, const CallState& call, const PlanState& plan) {
-  return parts.options.hedging && plan.config.repeat == Repeat::kSafe && call.replayable && !call.hedged &&
-         plan.p95_us > 0 && call.attempts < MaxAttempts(plan.config);
-}
-
 void Dispatch(StateParts& parts, CallHandle handle, EndpointHandle endpoint, TimePoint now, Effects& effects) {
   CallState& call = *parts.calls.Find(handle);
-  const PlanState& plan = parts.At(call.plan);
   EndpointState& state = parts.At(endpoint);
   if (state.in_flight == 0)
     state.progress_at = now;
@@ -96,26 +89,12 @@
   ++call.attempts;
   ++call.attempts_outstanding;
   call.stage = Stage::kRunning;
-  TimePoint hedge_at = TimePoint::max();
-  if (MayHedge(parts, call, plan)) {
-    const auto p95 = std::chrono::microseconds(static_cast<int64_t>(plan.p95_us));
-    hedge_at = now + std::max<Duration>(p95, kMinHedgeDelay);
-  }
+  const TimePoint hedge_at = HedgeTime(parts, call, now);
   const bool record_answer = call.record != CallState::kNoRecord;
   effects.push_back(Effect::Dispatch{call.ticket, handle, endpoint, call.deadline, hedge_at, record_answer,
                                      AttemptBasis(call, state, now)});
 }
 
-bool Hedge(StateParts& parts, CallHandle handle, EndpointHandle endpoint, TimePoint now, Effects& effects) {
-  CallState& call = *parts.calls.Find(handle);
-  if (!parts.ServiceOf(call).hedge_budget.Spend(1.0))
-    return false;
-  call.hedged = true;
-  ++parts.At(call.plan).totals.hedges;
-  Dispatch(parts, handle, endpoint, now, effects);
-  return true;
-}
-
 bool TryDispatch(StateParts& parts, CallHandle handle, TimePoint now, Effects& effects) {
   CallState& call = *parts.calls.Find(handle);
   if (IsRevalidating(parts, now))
--- a/libs/core/src/dispatch.h
+++ b/libs/core/src/dispatch.h
@@ -10,24 +10,16 @@
 
 namespace sassafras {
 
-struct CallState;
 struct StateParts;
 struct Plan;
-struct PlanState;
 struct ServiceState;
 
 /** Returns the maximum number of attempts of a call of the plan. */
 size_t MaxAttempts(const Plan& plan);
 
-/** Returns whether the call may be hedged, not considering the hedge budget. */
-bool MayHedge(const StateParts& parts, const CallState& call, const PlanState& plan);
-
 /** Starts an attempt of the call at the endpoint. */
 void Dispatch(StateParts& parts, CallHandle handle, EndpointHandle endpoint, TimePoint now, Effects& effects);
 
-/** Starts a second attempt while the first one runs, if the hedge budget allows; returns whether it did. */
-bool Hedge(StateParts& parts, CallHandle handle, EndpointHandle endpoint, TimePoint now, Effects& effects);
-
 /**
  * Starts an attempt of the call, or probes endpoints first if `ask_first` is set.
  * @return false if no endpoint can take the call now, or the lists are being revalidated
--- a/libs/core/src/endpoint_state.h
+++ b/libs/core/src/endpoint_state.h
@@ -43,6 +43,8 @@
   TimePoint reported_at{};
   /** Time of the last answer or refusal, or of the dispatch that ended an idle period. */
   TimePoint progress_at{};
+  /** When an attempt of this instance was last late for its hedge. */
+  TimePoint overdue_at{};
   /** Start of the gradual increase to full load (slow start) by this instance; independent of `warmup_until`. */
   TimePoint ramp_start{};
   TimePoint ejected_until{};
--- a/libs/core/src/lists_apply.cc
+++ b/libs/core/src/lists_apply.cc
@@ -8,6 +8,7 @@
 #include <absl/container/flat_hash_set.h>
 
 #include "base/hash.h"
+#include "hedge_policy.h"
 #include "lists/lists.h"
 #include "state_parts.h"
 
@@ -77,6 +78,7 @@
         *bucket = AttemptBudget(earn, limit, share);
     }
   }
+  UpdateHedgeAllowances(parts);
 }
 
 namespace {
@@ -248,6 +250,7 @@
     plan.active = false;
   for (const Plan& row : lists.plans)
     ApplyPlan(parts, row);
+  UpdateHedgeAllowances(parts);
   parts.plan_index.Rebuild(parts.plans);
   if (parts.options.discovery) {
     ApplyDiscoveredEndpoints(parts, now);
--- a/libs/core/src/load_probing.cc
+++ b/libs/core/src/load_probing.cc
@@ -6,6 +6,7 @@
 #include "call_end.h"
 #include "dispatch.h"
 #include "endpoint_learning.h"
+#include "hedge_policy.h"
 #include "held_calls.h"
 #include "latency_estimate.h"
 #include "probe_results.h"
@@ -138,9 +139,10 @@
   CallState& call = *parts.calls.Find(handle);
   call.probing_for_hedge = false;
   const bool in_time = now + FloatMicros(estimate) < call.deadline;
-  if (endpoint.IsValid() && in_time && call.attempts_outstanding == 1 &&
-      ProbedUtilization(call, endpoint) <= kMaxHedgeUtilization)
-    Hedge(parts, handle, endpoint, now, effects);
+  if (endpoint.IsValid() && !in_time)
+    return;
+  const bool has_room = endpoint.IsValid() && ProbedUtilization(call, endpoint) <= kMaxHedgeUtilization;
+  Hedge(parts, handle, endpoint, has_room, now, effects);
 }
 
 /** Ends probing: dispatches or hedges the call by the answers received, schedules new probes, or rejects the call. */
--- a/libs/core/src/plan_state.h
+++ b/libs/core/src/plan_state.h
@@ -5,6 +5,7 @@
 
 #include "base/handle.h"
 #include "core/plan_counters.h"
+#include "hedge_state.h"
 #include "lists/plan.h"
 #include "outcome_history.h"
 #include "plan_branch.h"
@@ -18,8 +19,7 @@
   /** One branch per service of the plan; empty only while the plan is inactive. */
   std::vector<PlanBranch> branches;
   uint32_t next_round_robin = 0;
-  /** Running estimate of the 95th percentile of answer latency; 0 before the first answer. */
-  float p95_us = 0;
+  PlanHedging hedging;
   /** Virtual finish time of the last queued call, for fair queueing between plans of the same priority. */
   double virtual_finish = 0;
   PlanCounters totals;
--- a/libs/core/src/reducer.cc
+++ b/libs/core/src/reducer.cc
@@ -8,6 +8,7 @@
 #include "control.h"
 #include "discovery.h"
 #include "gossip.h"
+#include "hedge_policy.h"
 #include "load_probing.h"
 #include "roster.h"
 #include "state_parts.h"
--- a/libs/core/src/selection.cc
+++ b/libs/core/src/selection.cc
@@ -6,6 +6,7 @@
 #include <limits>
 #include <utility>
 
+#include "hedge_policy.h"
 #include "state_parts.h"
 
 namespace sassafras {
@@ -56,6 +57,8 @@
     return false;
   if (state.in_flight >= state.connection_limit)
     return false;
+  if (IsBarredForHedge(parts, call, endpoint))
+    return false;
   const auto end = call.tried.begin() + call.attempts;
   return std::find(call.tried.begin(), end, endpoint) == end;
 }
@@ -189,6 +192,10 @@
   return std::max(1.0F, slots * part);
 }
 
+float Selector::UtilizationWithCall(EndpointHandle endpoint) const {
+  return (EstimatedOccupancy(endpoint) + 1.0F) / EffectiveSlots(endpoint);
+}
+
 bool Selector::IsFull(EndpointHandle endpoint) const {
   const EndpointState& state = m_parts.At(endpoint);
   const float slots = EffectiveSlots(endpoint);
@@ -218,7 +225,7 @@
 
 float Selector::HotColdScore(EndpointHandle endpoint) const {
   const EndpointState& state = m_parts.At(endpoint);
-  const float utilization = (EstimatedOccupancy(endpoint) + 1.0F) / EffectiveSlots(endpoint);
+  const float utilization = UtilizationWithCall(endpoint);
   const float remote = state.same_failure_domain ? 0.0F : kRemotePenalty;
   if (utilization > kHotUtilization)
     return kHotScoreOffset + utilization + remote;
--- a/libs/core/src/selection.h
+++ b/libs/core/src/selection.h
@@ -21,6 +21,8 @@
 
   /** Returns the endpoint for the next attempt of the call, or an invalid handle if the call has to wait. */
   EndpointHandle Choose(SelectionRule rule);
+  /** Estimates the share of the endpoint's slots in use with one more call. */
+  float UtilizationWithCall(EndpointHandle endpoint) const;
 
  private:
   using ChooseMethod = EndpointHandle (Selector::*)();
--- a/libs/core/src/service_state.h
+++ b/libs/core/src/service_state.h
@@ -7,6 +7,7 @@
 #include "base/clock.h"
 #include "base/handle.h"
 #include "core/call_handle.h"
+#include "hedge_state.h"
 #include "lists/plan.h"
 #include "lists/service.h"
 #include "wait_queue.h"
@@ -29,7 +30,8 @@
   double virtual_time = 0;
   /** Moving average of the latency of answers over all endpoints, per Work value. */
   std::array<float, 2> latency_us{};
-  /** Budgets of extra attempts: retries use both, hedges only the hedge budget. */
+  ServiceHedging hedging;
+  /** Budgets of extra attempts: retries use both, hedges only the hedge budget, besides their own allowance. */
   AttemptBudget retry_budget;
   AttemptBudget hedge_budget;
   /** Moving average of the factor by which attempts were slower at endpoints with few free slots. */
--- a/libs/core/src/slot_admission.cc
+++ b/libs/core/src/slot_admission.cc
@@ -37,6 +37,10 @@
   UpdateRate(service.full_share, utilization > kAllSlots);
 }
 
+bool AreSlotsScarce(const ServiceState& service, TimePoint now) {
+  return FullShareAt(service, now) > kScarceFullShare;
+}
+
 float MaxAcceptableLatency(StateParts& parts, const CallState& call, TimePoint now) {
   const float left = FloatMicros(call.deadline - now).count();
   const float objective = FloatMicros(parts.At(call.plan).config.objective_latency).count();
@@ -49,8 +53,7 @@
 bool WouldWasteSlot(StateParts& parts, const CallState& call, EndpointHandle endpoint, float estimate, TimePoint now) {
   // An endpoint that fails often is a bad choice, but its answers take no longer.
   const float latency = estimate / AversionFactor(parts.At(endpoint));
-  const bool scarce =
-      ProbedUtilization(call, endpoint) > kAllSlots || FullShareAt(parts.ServiceOf(call), now) > kScarceFullShare;
+  const bool scarce = ProbedUtilization(call, endpoint) > kAllSlots || AreSlotsScarce(parts.ServiceOf(call), now);
   return scarce && latency > MaxAcceptableLatency(parts, call, now);
 }
 
--- a/libs/core/src/slot_admission.h
+++ b/libs/core/src/slot_admission.h
@@ -12,6 +12,9 @@
 /** Updates the share of probed endpoints without a free slot by the answer of one of them. */
 void RecordProbedUtilization(ServiceState& service, float utilization, TimePoint now);
 
+/** Whether free slots of the service are scarce, by the endpoints probed lately. */
+bool AreSlotsScarce(const ServiceState& service, TimePoint now);
+
 /** Returns the longest estimate, in microseconds, at which the call may still take a slot of a full endpoint. */
 float MaxAcceptableLatency(StateParts& parts, const CallState& call, TimePoint now);
 
--- a/libs/core/src/state.cc
+++ b/libs/core/src/state.cc
@@ -189,6 +189,10 @@
   return m_parts->At(plan).totals;
 }
 
+const HedgeCounters& State::Hedges(PlanHandle plan) const {
+  return m_parts->At(plan).hedging.counters;
+}
+
 PlanCounters State::Recent(PlanHandle plan, std::chrono::seconds window, TimePoint now) const {
   return m_parts->At(plan).history->Sum(window, now);
 }
--- a/libs/entry/src/admin_pages.cc
+++ b/libs/entry/src/admin_pages.cc
@@ -6,6 +6,7 @@
 #include <boost/json.hpp>
 #include <fmt/format.h>
 
+#include "core/hedge_counters.h"
 #include "core/plan_counters.h"
 #include "core/state.h"
 #include "engine.h"
@@ -53,6 +54,23 @@
   return {status, "application/json", json::serialize(value) + "\n"};
 }
 
+void AppendHedgeCounters(const PlanCounters& totals,
+                         const HedgeCounters& hedges,
+                         const std::string& plan,
+                         std::string& text) {
+  const auto add = [&](std::string_view outcome, uint64_t value) {
+    fmt::format_to(std::back_inserter(text), "sassafras_hedge_outcomes_total{{plan=\"{}\",outcome=\"{}\"}} {}\n", plan,
+                   outcome, value);
+  };
+  add("won", hedges.won);
+  add("cancelled", hedges.lost);
+  add("refused_by_limit", hedges.refused);
+  add("held_back", hedges.held_back);
+  const uint64_t calls = totals.good + totals.slow + totals.failed + totals.not_run + totals.unknown + totals.cancelled;
+  const double extra = calls > 0 ? 100.0 * static_cast<double>(hedges.sent) / static_cast<double>(calls) : 0.0;
+  fmt::format_to(std::back_inserter(text), "sassafras_hedge_extra_work_percent{{plan=\"{}\"}} {:.2f}\n", plan, extra);
+}
+
 void AppendPlanCounters(const State& state, PlanHandle plan, std::string& text) {
   const PlanCounters& totals = state.Totals(plan);
   const std::string& name = state.PlanConfig(plan).name;
@@ -68,6 +86,7 @@
   add("cancelled", totals.cancelled);
   fmt::format_to(std::back_inserter(text), "sassafras_retries_total{{plan=\"{}\"}} {}\n", name, totals.retries);
   fmt::format_to(std::back_inserter(text), "sassafras_hedges_total{{plan=\"{}\"}} {}\n", name, totals.hedges);
+  AppendHedgeCounters(totals, state.Hedges(plan), name, text);
 }
 
 }  // namespace
--- a/libs/entry/src/call_log.cc
+++ b/libs/entry/src/call_log.cc
@@ -47,6 +47,8 @@
 
 void CallLog::AddAttempt(std::string_view endpoint, const DispatchBasis& basis) {
   ++m_attempt_count;
+  if (basis.hedge)
+    m_hedge_endpoint = endpoint;
   fmt::format_to(std::back_inserter(m_trace),
                  "{}{}:{} asked={}/{} estimate={:.0f}ms slowdown={:.2f} used={:.2f} report_age={:.0f}ms;",
                  m_trace.empty() ? "" : " ", basis.hedge ? "hedge" : "attempt", endpoint, basis.answered, basis.asked,
@@ -56,6 +58,18 @@
 void CallLog::AddAttemptEnd(std::string_view endpoint, AttemptResult result, unsigned status, Duration elapsed) {
   fmt::format_to(std::back_inserter(m_trace), " end:{} {} status={} after={:.0f}ms;", endpoint,
                  kAttemptResultNames[static_cast<size_t>(result)], status, ToMillis(elapsed));
+  if (result != AttemptResult::kAnswered)
+    return;
+  m_answered = true;
+  m_hedge_won = endpoint == m_hedge_endpoint;
+}
+
+std::string_view CallLog::HedgeOutcome() const {
+  if (m_hedge_endpoint.empty())
+    return "none";
+  if (!m_answered)
+    return "failed";
+  return m_hedge_won ? "won" : "cancelled";
 }
 
 void CallLog::WriteAnswered(std::string_view request_id,
@@ -108,6 +122,7 @@
        {"announced_generation", std::to_string(state.AnnouncedGeneration())},
        {"endpoints_as_of", std::to_string(state.EndpointsAsOf())},
        {"attempts", std::to_string(m_attempt_count)},
+       {"hedge", std::string(HedgeOutcome())},
        {"trace", m_trace}},
       log_class);
 }
--- a/libs/entry/src/call_log.h
+++ b/libs/entry/src/call_log.h
@@ -59,7 +59,14 @@
              Duration elapsed,
              bool routine) const;
 
+  /** Outcome of the hedge for the log line. */
+  std::string_view HedgeOutcome() const;
+
   uint32_t m_attempt_count = 0;
+  /** Endpoint of the hedge, empty if none was sent, and whether its answer was delivered. */
+  std::string m_hedge_endpoint;
+  bool m_answered = false;
+  bool m_hedge_won = false;
   std::string m_trace;
 };
 
--- a/libs/entry/src/entry_instance.cc
+++ b/libs/entry/src/entry_instance.cc
@@ -64,12 +64,12 @@
   if (settings.kill_after.count() > 0)
     options.linger_limit = MaxServingTimeAfterStop(duration_cast<milliseconds>(settings.kill_after));
   options.probing = settings.probing;
-  options.hedging = settings.hedging;
   options.late_binding = settings.late_binding;
   options.retry_ratio = settings.retry_ratio;
   options.retry_slack = settings.retry_slack;
   options.ask_first = settings.ask_first;
   options.key_revocation_limit = duration_cast<milliseconds>(settings.key_revocation_limit);
+  options.hedging = settings.hedging;
   options.hedge_limit = settings.hedge_limit / 100;
   options.gossip_period = duration_cast<milliseconds>(settings.gossip_period);
   options.discovery = settings.store == StoreKind::kPlatform;
@@ -341,7 +341,7 @@
   Log(level, "settings_reloaded", {{"restart_needed", same_sockets ? "no" : "yes, for changed addresses"}});
   const StateOptions options = MakeStateOptions(settings, m_engine.GetClock());
   m_engine.Post(Event::SettingsChanged{m_engine.Now(), options.retry_ratio, options.retry_slack, options.address_ttl,
-                                       options.linger_limit});
+                                       options.linger_limit, options.hedge_limit});
 }
 
 void EntryInstance::Impl::OnEffect(const Effect::CloseListeners& /*effect*/) {
--- a/libs/entry/src/log_record_writer.cc
+++ b/libs/entry/src/log_record_writer.cc
@@ -20,7 +20,7 @@
 };
 
 /** Indexed by LogRecord::Kind. */
-constexpr std::array<Row, 10> kRows = {{
+constexpr std::array<Row, 11> kRows = {{
     {LogRecord::Kind::kEndpointServing, LogLevel::kInfo, "endpoint_serving", "endpoint", "revision"},
     {LogRecord::Kind::kEndpointLeaving, LogLevel::kInfo, "endpoint_leaving", "endpoint", "revision"},
     {LogRecord::Kind::kEndpointGone, LogLevel::kInfo, "endpoint_gone", "endpoint", "revision"},
@@ -31,6 +31,7 @@
     {LogRecord::Kind::kRequestQuarantined, LogLevel::kWarning, "request_quarantined", "fingerprint", "version"},
     {LogRecord::Kind::kWatching, LogLevel::kInfo, "watching", "instance", "members"},
     {LogRecord::Kind::kNotWatching, LogLevel::kInfo, "not_watching", "instance", "members"},
+    {LogRecord::Kind::kHedgesRefused, LogLevel::kInfo, "hedges_refused", "plan", "count"},
 }};
 
 }  // namespace
--- a/libs/lists/include/lists/plan.h
+++ b/libs/lists/include/lists/plan.h
@@ -2,6 +2,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -48,6 +49,8 @@
   std::vector<std::string> endpoints;
   /** Whether requests need no API key although there are client accounts. */
   bool is_public = false;
+  /** Hedges per call that the plan may make, from 0 to 1; not set: the limit of the service. */
+  std::optional<double> hedge_limit;
 };
 
 }  // namespace sassafras
--- a/libs/lists/include/lists/service.h
+++ b/libs/lists/include/lists/service.h
@@ -2,6 +2,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <optional>
 #include <string>
 
 namespace sassafras {
@@ -21,6 +22,8 @@
   double warmup_rate = 0.0;
   /** Time that an endpoint takes to warm up after its start. */
   std::chrono::milliseconds warmup_duration{};
+  /** Hedges per call that the service's plans may make, from 0 to 1; not set: the limit in the settings. */
+  std::optional<double> hedge_limit;
 };
 
 }  // namespace sassafras
--- a/libs/lists/src/lists_diff.cc
+++ b/libs/lists/src/lists_diff.cc
@@ -1,4 +1,5 @@
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -10,18 +11,24 @@
 namespace sassafras {
 namespace {
 
+/** Returns the limit in percent as operators write it; empty if it is not set. */
+std::string DescribeHedgeLimit(const std::optional<double>& limit) {
+  return limit.has_value() ? fmt::format(" hedge_limit={:g}", *limit * 100) : std::string();
+}
+
 std::string Describe(const Plan& plan) {
   return fmt::format(
       "customer={} method={} path={} repeat={} work={} deadline={}us priority={} share={} "
-      "objective_latency={}us objective_success={} service={} endpoints=[{}]",
+      "objective_latency={}us objective_success={} service={} endpoints=[{}]{}",
       plan.customer, plan.method, plan.path_prefix, plan.repeat == Repeat::kSafe ? "safe" : "never",
       plan.work == Work::kShort ? "short" : "long", plan.deadline.count(), plan.priority, plan.share,
-      plan.objective_latency.count(), plan.objective_success, plan.service, fmt::join(plan.endpoints, ","));
+      plan.objective_latency.count(), plan.objective_success, plan.service, fmt::join(plan.endpoints, ","),
+      DescribeHedgeLimit(plan.hedge_limit));
 }
 
 std::string Describe(const Service& service) {
-  return fmt::format("probe_budget={} probe_path={} long_share={}", service.probe_budget, service.probe_path,
-                     service.long_share);
+  return fmt::format("probe_budget={} probe_path={} long_share={}{}", service.probe_budget, service.probe_path,
+                     service.long_share, DescribeHedgeLimit(service.hedge_limit));
 }
 
 std::string Describe(const Endpoint& endpoint) {
--- a/libs/lists/src/lists_parser.cc
+++ b/libs/lists/src/lists_parser.cc
@@ -1,5 +1,6 @@
 #include <algorithm>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <utility>
@@ -38,6 +39,13 @@
   return MakeError(ErrorKind::kInvalidValue, fmt::format("{} {}: {}", file, row, what), remedy);
 }
 
+/** Reads `hedge_limit`, hedges per 100 calls, as a share of calls; not set if the key is missing. */
+std::optional<double> ReadHedgeLimit(TomlReader& reader) {
+  constexpr double kMissing = -1;
+  const double percent = reader.NumberOr("hedge_limit", 0.0, 100.0, kMissing);
+  return percent == kMissing ? std::nullopt : std::optional(percent / 100);
+}
+
 absl::StatusOr<Plan> ReadPlan(const toml::table& table, std::string context) {
   TomlReader reader(table, std::move(context));
   Plan plan;
@@ -52,6 +60,7 @@
   plan.share = static_cast<uint32_t>(reader.IntegerOr("share", 1, 1'000, 1));
   plan.objective_latency = reader.DurationOr("objective_latency", kMinDuration, kMaxDeadline, kDefaultObjectiveLatency);
   plan.objective_success = reader.NumberOr("objective_success", 0.0, 99.9999, 99.0);
+  plan.hedge_limit = ReadHedgeLimit(reader);
   if (absl::Status status = reader.Finish(); !status.ok())
     return status;
   return plan;
@@ -68,6 +77,7 @@
   }
   service.probe_path = reader.StringOr("probe_path", "/probe");
   service.long_share = reader.NumberOr("long_share", 1.0, 100.0, 50.0);
+  service.hedge_limit = ReadHedgeLimit(reader);
   if (absl::Status status = reader.Finish(); !status.ok())
     return status;
   return service;
--- a/libs/lists/tests/lists_test.cc
+++ b/libs/lists/tests/lists_test.cc
@@ -95,6 +95,28 @@
   }
 }
 
+// Guards against a limit of 0, which turns hedging off, that is taken for a missing one.
+TEST_CASE("the hedge limit of a plan or service is a share of calls, and is not set unless it is written") {
+  const auto without = ParseLists(kPlans, kUpstreams);
+  REQUIRE(without.ok());
+  CHECK_FALSE(without->plans[0].hedge_limit.has_value());
+  CHECK_FALSE(without->services[0].hedge_limit.has_value());
+  const auto with = ParseLists(std::string(kPlans) + "hedge_limit = 0\n",
+                               Replace(kUpstreams, "probe_budget = 1.0", "probe_budget = 1.0\nhedge_limit = 25"));
+  REQUIRE(with.ok());
+  CHECK(with->plans[0].hedge_limit == 0.0);
+  CHECK(with->services[0].hedge_limit == 0.25);
+  const auto lines = DiffLists(*without, *with);
+  REQUIRE(lines.size() == 2);
+  CHECK(lines[0].ends_with(" hedge_limit=0"));
+  CHECK(lines[1].ends_with(" hedge_limit=25"));
+  for (const char* value : {"-1", "100.5", "\"10\""}) {
+    const std::string message = ErrorOf(std::string(kPlans) + "hedge_limit = " + value + "\n", kUpstreams);
+    CAPTURE(message);
+    CHECK(message.find("plans.toml plan 1 line 10: 'hedge_limit' is not a number from 0 to 100") != std::string::npos);
+  }
+}
+
 TEST_CASE("the diff names added, removed and changed rows") {
   const auto before = ParseLists(kPlans, kUpstreams);
   const auto after = ParseLists(kPlans, Replace(Replace(kUpstreams, "slots = 6", "slots = 7"), "o-1", "o-2"));
--- a/libs/settings/tests/settings_test.cc
+++ b/libs/settings/tests/settings_test.cc
@@ -18,6 +18,22 @@
   CHECK(settings->instance == "entry-1");
   CHECK(settings->selection == "hot_cold");
   CHECK(settings->late_binding);
+  CHECK(settings->hedge_limit == 10);
+}
+
+// Guards against a limit of 0 that is taken for a missing one, and against limits that no number of calls can earn.
+TEST_CASE("the hedge limit is in percent of calls, from 0 to 100") {
+  const auto off = ParseSettings(kValid + "hedge_limit = 0\n", "s.toml");
+  REQUIRE(off.ok());
+  CHECK(off->hedge_limit == 0);
+  const auto part = ParseSettings(kValid + "hedge_limit = 2.5\n", "s.toml");
+  REQUIRE(part.ok());
+  CHECK(part->hedge_limit == 2.5);
+  for (const char* value : {"-1", "101", "nan", "\"10%\""}) {
+    const auto settings = ParseSettings(kValid + "hedge_limit = " + value + "\n", "s.toml");
+    REQUIRE_FALSE(settings.ok());
+    CHECK(MessageOf(settings.status()).find("'hedge_limit' is not a number from 0 to 100") != std::string::npos);
+  }
 }
 
 TEST_CASE("the users' platform needs exactly one address") {
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -52,6 +52,10 @@
      "received.whole"),
     ("interim_responses_without_end", ENTRY_SOURCES + "attempt.cc", "interim <= kMaxInterimResponses", "true",
      "sent < kBoundedBytes"),
+    ("hedge_limit_not_spent", CORE_SOURCES + "hedge_policy.cc", "  AllowanceOf(parts, call).Spend();\n", "",
+     "fixture.Counters().sent"),
+    ("hedge_while_slots_are_scarce", CORE_SOURCES + "hedge_policy.cc", " && !AreSlotsScarce(service, now)", "",
+     "fixture.Counters().held_back == 1"),
     ("lose_waiting_call", CORE_SOURCES + "dispatch.cc", "queue.Push(skipped[i]);", "(void)skipped[i];", "never"),
 ]
 
