--- a/libs/core/include/core/log_record.h
+++ b/libs/core/include/core/log_record.h
@@ -31,13 +31,19 @@
     /** No requests may be sent to a failure domain any more, or they may again. */
     kDomainEvacuated,
     kEvacuationEnded,
+    /** Hedges of a plan were not sent because the operators' limit was used up; at most one record a minute. */
+    kHedgesRefused,
   };
   Kind kind = Kind::kEndpointServing;
-  /** Name of an endpoint or failure domain, of the first of several members or of this instance, or the fingerprint of
-   * a request. */
+  /**
+   * Name of an endpoint, failure domain, account or plan, of the first of several members or of this instance, or the
+   * fingerprint of a request.
+   */
   std::string subject;
-  /** Revision of the store, incarnation, number of members or age in milliseconds, depending on `kind`; 0 if not
-   * applicable. */
+  /**
+   * Revision of the store, incarnation, number of members, calls or hedges, or age in milliseconds, depending on
+   * `kind`; 0 if not applicable.
+   */
   uint64_t version = 0;
   /** How long the change holds; zero if indefinitely. */
   std::chrono::milliseconds lifetime{};
--- a/libs/core/src/calls.cc
+++ b/libs/core/src/calls.cc
@@ -7,8 +7,9 @@
 
 #include "call_end.h"
 #include "dispatch.h"
-#include "quota.h"
+#include "hedge_policy.h"
 #include "key_confirmation.h"
+#include "quota.h"
 #include "state_parts.h"
 
 namespace sassafras {
@@ -228,6 +229,7 @@
   const CallHandle handle = Accept(parts, event, effects);
   parts.calls.Find(handle)->record = record;
   parts.calls.Find(handle)->service = branch.service;
+  EarnHedgeAllowance(parts, *parts.calls.Find(handle));
   if (AcquireQuota(parts, handle, event.now, effects))
     ContinueAdmitted(parts, handle, event.now, effects);
 }
--- a/libs/core/src/reducer.cc
+++ b/libs/core/src/reducer.cc
@@ -10,6 +10,7 @@
 #include "evacuations.h"
 #include "gossip.h"
 #include "key_confirmation.h"
+#include "hedge_policy.h"
 #include "load_probing.h"
 #include "roster.h"
 #include "state_parts.h"
--- a/libs/entry/src/log_record_writer.cc
+++ b/libs/entry/src/log_record_writer.cc
@@ -37,6 +37,7 @@
     {LogRecord::Kind::kKeysConfirmed, LogLevel::kInfo, "keys_confirmed", "instance", "age_ms"},
     {LogRecord::Kind::kDomainEvacuated, LogLevel::kWarning, "domain_evacuated", "failure_domain", "as_of"},
     {LogRecord::Kind::kEvacuationEnded, LogLevel::kInfo, "evacuation_ended", "failure_domain", "as_of"},
+    {LogRecord::Kind::kHedgesRefused, LogLevel::kInfo, "hedges_refused", "plan", "count"},
 });
 
 }  // namespace
--- a/libs/entry/tests/call_fixture.h
+++ b/libs/entry/tests/call_fixture.h
@@ -60,12 +60,14 @@
     return m_endpoints.emplace_back(m_context, std::move(script));
   }
 
-  static StateOptions MakeOptions() {
+  static StateOptions MakeOptions(bool hedging = false) {
     StateOptions options;
     options.self.name = "i0";
     options.self.failure_domain = "a";
     options.probing = false;
-    options.hedging = false;
+    options.hedging = hedging;
+    // So that a test does not have to earn the hedge that it waits for.
+    options.hedge_limit = 1;
     return options;
   }
 
--- a/libs/lists/src/lists_diff.cc
+++ b/libs/lists/src/lists_diff.cc
@@ -1,5 +1,6 @@
 #include <algorithm>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -19,20 +20,25 @@
   return fmt::format("{}", fmt::join(parts, ","));
 }
 
+/** Returns the limit in percent as operators write it; empty if it is not set. */
+std::string DescribeHedgeLimit(const std::optional<double>& limit) {
+  return limit.has_value() ? fmt::format(" hedge_limit={:g}", *limit * 100) : std::string();
+}
+
 std::string Describe(const Plan& plan) {
   return fmt::format(
       "customer={} host={} method={} path={} repeat={} work={} deadline={}us priority={} share={} "
-      "objective_latency={}us objective_success={} service={} split=[{}] max_attempts={} public={} endpoints=[{}]",
+      "objective_latency={}us objective_success={} service={} split=[{}] max_attempts={} public={} endpoints=[{}]{}",
       plan.customer, plan.host, plan.method, plan.path_prefix, plan.repeat == Repeat::kSafe ? "safe" : "never",
       plan.work == Work::kShort ? "short" : "long", plan.deadline.count(), plan.priority, plan.share,
       plan.objective_latency.count(), plan.objective_success, plan.service, DescribeSplit(plan), plan.max_attempts,
-      plan.is_public, fmt::join(plan.endpoints, ","));
+      plan.is_public, fmt::join(plan.endpoints, ","), DescribeHedgeLimit(plan.hedge_limit));
 }
 
 std::string Describe(const Service& service) {
-  return fmt::format("probe_budget={} probe_path={} connections={} long_share={} warmup_rate={} warmup_duration={}ms",
+  return fmt::format("probe_budget={} probe_path={} connections={} long_share={} warmup_rate={} warmup_duration={}ms{}",
                      service.probe_budget, service.probe_path, service.connections, service.long_share,
-                     service.warmup_rate, service.warmup_duration.count());
+                     service.warmup_rate, service.warmup_duration.count(), DescribeHedgeLimit(service.hedge_limit));
 }
 
 /** API keys are secrets: of them only the number is told. */
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -64,6 +64,10 @@
      "state.active && !state.leaving", "AcceptsCalls(dispatch.endpoint)"),
     ("warmup_limit_removed", CORE_SOURCES + "selection.cc", "  return !limited;", "  return true;",
      "MostInOneSecond"),
+    ("hedge_limit_not_spent", CORE_SOURCES + "hedge_policy.cc", "  AllowanceOf(parts, call).Spend();\n", "",
+     "fixture.Counters().sent"),
+    ("hedge_while_slots_are_scarce", CORE_SOURCES + "hedge_policy.cc", " && !AreSlotsScarce(service, now)", "",
+     "fixture.Counters().held_back == 1"),
     ("lose_waiting_call", CORE_SOURCES + "dispatch.cc", "queue.Push(skipped[i]);", "(void)skipped[i];", "never"),
 ]
 
