Warm-up: a renewed entry that repeats the time left of the one before is a copy, not news

Reason: an endpoint that writes the same warmupLeftS at each renewal would stay limited for good, and each renewal would be broadcast. Change: such an entry changes nothing. Tests: warmup_test passed (9 cases).

--- a/libs/core/src/endpoint_feed.cc
+++ b/libs/core/src/endpoint_feed.cc
@@ -74,12 +74,17 @@
   return known.change.kind == EndpointChange::Kind::kGone && source == Source::kListing && listed_long_ago;
 }
 
-bool EndpointFeed::UpdateWarmup(KnownEndpoint& known, const EndpointChange& change, TimePoint now) {
+bool EndpointFeed::RenewWarmup(KnownEndpoint& known, const EndpointChange& change, TimePoint now) {
+  // A warm-up that runs never has the same time left twice, so this is a copy of the earlier statement. Taken for a new
+  // one, it would extend the warm-up with each renewal and limit the endpoint for good.
+  if (change.warmup == known.change.warmup)
+    return false;
+  known.change.warmup = change.warmup;
   const TimePoint end = now + change.warmup;
   const TimePoint before = std::max(known.warmup_until, now);
   known.warmup_until = end;
   known.warmup_reported_at = now;
-  // Endpoints renew their entries all the time. The same end of a warm-up, stated anew, is no news.
+  // The same end of a warm-up, stated anew, is no news.
   return end > before + kWarmupTolerance || before > end + kWarmupTolerance;
 }
 
@@ -104,7 +109,7 @@
   known.refused_revision = 0;
   if (!is_new && HasSameContent(known.change, change) && known.gone_at == TimePoint::max()) {
     known.change.revision = change.revision;
-    return UpdateWarmup(known, change, now);
+    return RenewWarmup(known, change, now);
   }
   if (!is_new && gone && known.gone_at != TimePoint::max())
     return false;
@@ -129,7 +134,8 @@
   known.gone_at = gone ? now : TimePoint::max();
   if (gone)
     m_next_expiry = std::min(m_next_expiry, now + kGoneEntryRetention);
-  UpdateWarmup(known, change, now);
+  known.warmup_until = now + change.warmup;
+  known.warmup_reported_at = now;
   ToggleInDigest(known.change);
   return true;
 }
--- a/libs/core/src/endpoint_feed.h
+++ b/libs/core/src/endpoint_feed.h
@@ -94,8 +94,8 @@
 
  private:
   void ToggleInDigest(const EndpointChange& change);
-  /** Takes over the warm-up that an entry states; returns whether it differs from what was known. */
-  static bool UpdateWarmup(KnownEndpoint& known, const EndpointChange& change, TimePoint now);
+  /** Takes over the warm-up that a renewed entry states; returns whether its end differs from what was known. */
+  static bool RenewWarmup(KnownEndpoint& known, const EndpointChange& change, TimePoint now);
   /** Whether `change` is an entry that a restored store lists although the endpoint has left or is leaving since. */
   bool IsOutdatedEntry(const KnownEndpoint& known, const EndpointChange& change, Source source, TimePoint now) const;
 
--- a/libs/core/tests/warmup_test.cc
+++ b/libs/core/tests/warmup_test.cc
@@ -431,6 +431,16 @@
   entry.revision = 6;
   entry.warmup = Millis(0);
   CHECK(feed.Apply(entry, EndpointFeed::Source::kWrite, Millis(0), now + Millis(2'000)));
+  // Not even if an endpoint writes the same time each time: its warm-up would never end.
+  entry.revision = 7;
+  entry.warmup = Millis(10'000);
+  CHECK(feed.Apply(entry, EndpointFeed::Source::kWrite, Millis(0), now + Millis(3'000)));
+  const TimePoint end = feed.All().at("e").warmup_until;
+  for (int second = 4; second < 20; ++second) {
+    ++entry.revision;
+    CHECK_FALSE(feed.Apply(entry, EndpointFeed::Source::kWrite, Millis(0), now + std::chrono::seconds(second)));
+  }
+  CHECK(feed.All().at("e").warmup_until == end);
 }
 
 // Guards against a blind choice that burdens an endpoint in warm-up while others are idle.
