--- a/libs/core/tests/warmup_test.cc
+++ b/libs/core/tests/warmup_test.cc
@@ -11,6 +11,7 @@
 
 #include "endpoint_feed.h"
 #include "lists/lists.h"
+#include "platform_fleet_simulation.h"
 #include "single_instance.h"
 
 namespace sassafras {
@@ -338,6 +339,22 @@
   }
 };
 
+// Guards against a limit that the instances of a fleet in touch do not keep together, as counted at the endpoint.
+TEST_CASE("all endpoints of a service go back to warm-up in a fleet under load") {
+  PlatformFleetSimulation simulation(14);
+  // The endpoints of service "s".
+  for (const size_t address : {0u, 2u, 4u})
+    simulation.StartWarmup(address);
+  for (int step = 0; step < 120; ++step) {
+    for (size_t i = 0; i < PlatformFleetSimulation::kInstances; ++i)
+      simulation.SendCall(i, true);
+    simulation.Advance(Millis(50));
+  }
+  CHECK(simulation.AnsweredCount() > 0);
+  simulation.RecoverAndCheck();
+  CHECK(simulation.FirstViolation() == std::string());
+}
+
 // Guards against one instance that uses its endpoint in warm-up without a pause, first attempts and others alike.
 TEST_CASE("an instance uses an endpoint in warm-up at most once in the time of four requests") {
   LimitedInstance instance(8.0);
