--- a/libs/entry/tests/attempt_test.cc
+++ b/libs/entry/tests/attempt_test.cc
@@ -11,6 +11,7 @@
 
 #include "base/system_clock.h"
 #include "call_exchange.h"
+#include "core/plan_counters.h"
 #include "core/state.h"
 #include "core/state_options.h"
 #include "engine.h"
@@ -83,9 +84,18 @@
 
 /** A call whose attempt at an endpoint is dispatched but has not run yet. */
 struct Fixture {
-  explicit Fixture(const std::string& answer) : endpoint(context, answer) {
+  /** @param discovery  whether the endpoint is listed in the platform's store, in failure domain "a" */
+  explicit Fixture(const std::string& answer, bool discovery = false)
+      : engine(MakeOptions(discovery), clock), endpoint(context, answer) {
     engine.SetControlSink(control);
-    ReceiveLists(1, endpoint.Address());
+    ReceiveLists(1, discovery ? std::string() : endpoint.Address());
+    if (discovery) {
+      engine.Post(Event::EvacuationsReceived{clock.Now(), {1, {}}});
+      EndpointChange change;
+      change.row = {"e", "s", endpoint.Address(), "a", 6, 0};
+      change.revision = 2;
+      engine.Post(Event::EndpointsReceived{clock.Now(), 3, true, {change}});
+    }
     auto request = std::make_unique<CallExchange::Parser>();
     error_code error;
     request->put(asio::buffer(std::string("GET /x HTTP/1.1\r\nHost: h\r\n\r\n")), error);
@@ -102,6 +112,12 @@
     }
   }
 
+  static StateOptions MakeOptions(bool discovery) {
+    StateOptions options;
+    options.discovery = discovery;
+    return options;
+  }
+
   void ReceiveLists(uint64_t generation, const std::string& endpoint_address) {
     engine.Post(
         Event::ListsReceived{clock.Now(), generation, std::make_shared<const Lists>(MakeLists(endpoint_address))});
@@ -111,7 +127,7 @@
   SystemClock clock;
   NullControlSink control;
   HoldOffDialect dialect;
-  Engine engine{StateOptions(), clock};
+  Engine engine;
   UpstreamPool pool{context.get_executor(), clock};
   FixedEndpoint endpoint;
   std::shared_ptr<CallExchange> exchange;
@@ -148,6 +164,28 @@
   CHECK(fixture.endpoint.ReceivedBytes() == 0);
 }
 
+// Guards against sending a request to an evacuated failure domain because its attempt was under way.
+TEST_CASE("an attempt at an endpoint whose failure domain is evacuated while the connection is made is withdrawn") {
+  Fixture fixture("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", true);
+  fixture.engine.Post(Event::EvacuationsReceived{fixture.clock.Now(), {4, {"a"}}});
+  while (fixture.engine.GetState().InFlight(kEndpoint) == 1 && fixture.context.run_one() > 0) {
+  }
+  CHECK(fixture.endpoint.ReceivedBytes() == 0);
+  CHECK(fixture.engine.GetState().CallsInProgress() == 0);
+}
+
+// Guards against an evacuation that cuts off requests that run.
+TEST_CASE("a request that runs when the failure domain of its endpoint is evacuated gets its answer") {
+  Fixture fixture("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", true);
+  while (fixture.endpoint.ReceivedBytes() == 0 && fixture.context.run_one() > 0) {
+  }
+  fixture.engine.Post(Event::EvacuationsReceived{fixture.clock.Now(), {4, {"a"}}});
+  while (fixture.engine.GetState().InFlight(kEndpoint) == 1 && fixture.context.run_one() > 0) {
+  }
+  const PlanCounters& totals = fixture.engine.GetState().Totals(PlanHandle(0));
+  CHECK(totals.good + totals.slow == 1);
+}
+
 // Guards against counting the time for which an endpoint wants no requests from the end of a slow answer.
 TEST_CASE("an endpoint holds off requests from the head of its answer on, however late the answer ends") {
   Fixture fixture("HTTP/1.1 503 -\r\nRetry-After: 10\r\nContent-Length: 100\r\n\r\nthe first part");
--- a/libs/entry/tests/prober_test.cc
+++ b/libs/entry/tests/prober_test.cc
@@ -105,5 +105,32 @@
   CHECK(prober.WithdrawnCount() == 1);
 }
 
+// Guards against sending a probe to an evacuated failure domain after the probe was scheduled.
+TEST_CASE("a probe to an endpoint of an evacuated failure domain is not sent") {
+  asio::io_context context;
+  ManualClock clock;
+  NullControlSink control;
+  StateOptions options;
+  options.discovery = true;
+  Engine engine(options, clock);
+  engine.SetControlSink(control);
+  EndlessEndpoint endpoint(context, "no answer");
+  Lists lists = ListsWithEndpoint(endpoint.Address());
+  lists.endpoints.clear();
+  engine.Post(Event::ListsReceived{clock.Now(), 1, std::make_shared<const Lists>(std::move(lists))});
+  EndpointChange change;
+  change.row = {"e", "s", endpoint.Address(), "a", 6, 0};
+  change.revision = 2;
+  engine.Post(Event::EndpointsReceived{clock.Now(), 3, true, {change}});
+  UpstreamPool pool(context.get_executor(), clock);
+  const NativeDialect dialect;
+  Prober prober(context.get_executor(), engine, pool, dialect);
+  prober.Send({EndpointHandle(0), TimePoint::max(), {}});
+  engine.Post(Event::EvacuationsReceived{clock.Now(), {4, {"a"}}});
+  context.run();
+  CHECK(prober.SentCount() == 0);
+  CHECK(prober.WithdrawnCount() == 1);
+}
+
 }  // namespace
 }  // namespace sassafras
