--- a/libs/entry/tests/invalid_status_test.cc
+++ b/libs/entry/tests/invalid_status_test.cc
@@ -11,6 +11,7 @@
 #include "echoing_dialect.h"
 #include "entry/native_dialect.h"
 #include "net/http_client.h"
+#include "net/stream_canceller.h"
 #include "prober.h"
 
 namespace sassafras {
@@ -216,5 +217,28 @@
   }
 }
 
+// Guards against the body of such a reply being taken for events of a watch.
+TEST_CASE("a stream of the store whose status is none has no lines") {
+  for (const std::string status : {"000", "199", "600"}) {
+    CAPTURE(status);
+    const std::string answer = "HTTP/1.1 " + status + " None\r\nContent-Length: 3\r\n\r\n{}\n";
+    asio::io_context context;
+    const ScriptedEndpoint endpoint(context, Play(answer, false));
+    StreamCanceller canceller;
+    size_t lines = 0;
+    bool failed = false;
+    const auto stream = [&]() -> asio::awaitable<void> {
+      const absl::Status result = co_await StreamHttp(
+          endpoint.Address(), "/x", "", std::chrono::seconds(5), [&](std::string_view) { ++lines; }, canceller);
+      failed = !result.ok();
+      context.stop();
+    };
+    asio::co_spawn(context, stream(), asio::detached);
+    context.run();
+    CHECK(failed);
+    CHECK(lines == 0);
+  }
+}
+
 }  // namespace
 }  // namespace sassafras
