--- a/libs/core/tests/key_revocation_test.cc
+++ b/libs/core/tests/key_revocation_test.cc
@@ -378,6 +378,20 @@
   CHECK(fleet.fixture.Call("a1") == "accepted");
 }
 
+// Guards against a message from before a query that is taken for its reply: its age was stated before the query.
+TEST_CASE("while a query waits for its reply, no other message confirms the lists") {
+  FleetWithoutStore fleet(5);
+  fleet.Run(Millis(5'000), false, Millis(0));
+  CHECK(fleet.other_domain_queries > 0);
+  for (const uint64_t id : {0, 12'345}) {
+    GossipMessage other;
+    other.reply_to = id;
+    other.lists_confirmed_age = Millis(0);
+    fleet.fixture.ReceiveGossip(other);
+    CHECK(fleet.fixture.Call("a1") == "keys_not_confirmed");
+  }
+}
+
 // Guards against an empty address answer of an instance that knows no other: its public routes would be out of reach.
 TEST_CASE("an instance that cannot confirm keys and knows no other names itself") {
   AccountFixture fixture;
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -52,6 +52,17 @@
      "received.whole"),
     ("interim_responses_without_end", ENTRY_SOURCES + "attempt.cc", "interim <= kMaxInterimResponses", "true",
      "sent < kBoundedBytes"),
+    ("revoked_key_while_waiting", CORE_SOURCES + "key_confirmation.cc", "if (holder == call.account &&",
+     "if (true || holder == call.account &&", "unauthorized"),
+    ("key_without_confirmation", CORE_SOURCES + "key_confirmation.cc",
+     "return !NeedsKeyConfirmation(parts) || IsYounger(parts, kUsableLimitFraction, now);", "return true;",
+     "keys_not_confirmed"),
+    ("reply_counts_from_arrival", CORE_SOURCES + "key_confirmation.cc",
+     "ConfirmKeys(parts, query_sent_at - message.lists_confirmed_age, now);",
+     "ConfirmKeys(parts, BootTime(parts, now) - message.lists_confirmed_age, now);", "keys_not_confirmed"),
+    ("any_message_is_a_reply", CORE_SOURCES + "key_confirmation.cc",
+     "if (message.reply_to == 0 || message.reply_to != parts.keys.query)\n    return;", "",
+     "keys_not_confirmed"),
     ("lose_waiting_call", CORE_SOURCES + "dispatch.cc", "queue.Push(skipped[i]);", "(void)skipped[i];", "never"),
 ]
 
