--- a/tests/platform/endpoint_standin.py
+++ b/tests/platform/endpoint_standin.py
@@ -139,4 +139,5 @@
         self.request_id, self.endpoint, self.service, self.arrived_at = request_id, endpoint.name, endpoint.service, arrived_at
         self.method, self.path, self.request_body = request.start_line[0], request.start_line[1], request.body
         self.response_seal = f"{next(_RUN_NUMBERS):x}.{endpoint.name}"
+        self.headers = request.headers
         self.body = b""
--- a/tests/platform/fleet.py
+++ b/tests/platform/fleet.py
@@ -73,7 +73,8 @@
 class Fleet:
     """Builds and runs the installation; faults are injected through its members."""
 
-    def __init__(self, seed, entries=4):
+    def __init__(self, seed, entries=4, more_settings=""):
+        self.more_settings = more_settings
         self.rng = random.Random(seed)
         self.dir = pathlib.Path(tempfile.mkdtemp(prefix="sassafras-"))
         self.base_port = find_free_base_port(seed, 400)
@@ -139,8 +140,9 @@
         if entry.process is not None and entry.process.poll() is None:
             return
         log = open(self.dir / f"{entry.name}.log", "ab")
-        entry.process = subprocess.Popen([BUILD / "sassafrasd", "--settings", self.write_settings(entry)], stdout=log,
-                                         stderr=log, stdin=subprocess.DEVNULL)
+        settings = self.write_settings(entry, self.more_settings)
+        entry.process = subprocess.Popen([BUILD / "sassafrasd", "--settings", settings], stdout=log, stderr=log,
+                                         stdin=subprocess.DEVNULL)
         log.close()
 
     def directory_ports(self):
--- a/tests/process/run.py
+++ b/tests/process/run.py
@@ -12,7 +12,7 @@
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent))
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[2] / "tools" / "lab"))
 MODULES = ["answers_test", "at_most_once_test", "lists_test", "leaving_test", "failure_test", "command_line_test", "reload_test",
-           "platform_test", "lab_test"]
+           "platform_test", "key_revocation_test", "lab_test"]
 KNOWN_RED = pathlib.Path(__file__).resolve().parents[2] / "KNOWN-RED.txt"
 
 
