Platform fleet simulation: an account with a quota, whose runs are counted from outside

The fixture of the quota tests has no pauses, lost stores or reused addresses. The fuzz test now also sends bursts of calls of an account over its limit, and the endpoints count the runs in any 5 s. The mutant whose buckets never empty is found. core and core_repeats pass.

--- a/libs/core/tests/fleet_fuzz_test.cc
+++ b/libs/core/tests/fleet_fuzz_test.cc
@@ -45,6 +45,17 @@
   }
 };
 
+/** Sends far more calls of the account with a quota than it may run, to all instances or to one. */
+struct SendLimitedCalls : Step {
+  void Act(PlatformFleetSimulation& simulation) const override {
+    for (unsigned i = 0; i < 50; ++i) {
+      const size_t instance = (pick + (pick % 2 == 0 ? i : 0)) % PlatformFleetSimulation::kInstances;
+      if (simulation.IsUp(instance) && simulation.StateOf(instance).CurrentPhase() != Phase::kClosing)
+        simulation.SendLimitedCall(instance);
+    }
+  }
+};
+
 struct DisconnectCaller : Step {
   void Act(PlatformFleetSimulation& simulation) const override {
     if (simulation.CallCount() > 0)
@@ -188,12 +199,12 @@
     rc::state::check(
         Model(), *simulation,
         rc::state::gen::execOneOfWithArgs<
-            SendCalls, SendCalls, SendCalls, SendCalls, DisconnectCaller, PauseInstance, ResumeInstance, ResumeInstance,
-            KillInstance, RestartInstance, RestartInstance, RestartAllInstances, StopInstance, IsolateInstance,
-            ChangeStoreMode, ChangeStoreMode, TakeStoreDown, BringStoreUp, BringStoreUp, RestoreStore, ChangeReadLag,
-            CompactStoreHistory, MoveRoute, MoveRoute, DrainEndpoint, LeaveWithoutNotice, HoldOffRequests,
-            CrashEndpoint, StartEndpoint, StartEndpoint, RestartEndpoint, WriteDamagedEntry, LoseAnswers,
-            ChangeGossipDropRate, LongDelay, LongDelay>());
+            SendCalls, SendCalls, SendCalls, SendCalls, SendLimitedCalls, SendLimitedCalls, DisconnectCaller,
+            PauseInstance, ResumeInstance, ResumeInstance, KillInstance, RestartInstance, RestartInstance,
+            RestartAllInstances, StopInstance, IsolateInstance, ChangeStoreMode, ChangeStoreMode, TakeStoreDown,
+            BringStoreUp, BringStoreUp, RestoreStore, ChangeReadLag, CompactStoreHistory, MoveRoute, MoveRoute,
+            DrainEndpoint, LeaveWithoutNotice, HoldOffRequests, CrashEndpoint, StartEndpoint, StartEndpoint,
+            RestartEndpoint, WriteDamagedEntry, LoseAnswers, ChangeGossipDropRate, LongDelay, LongDelay>());
     simulation->RecoverAndCheck();
     digest = HashCombine(digest, simulation->EffectsHash());
     RC_ASSERT(simulation->FirstViolation() == std::string());
--- a/libs/core/tests/platform_fleet_simulation.cc
+++ b/libs/core/tests/platform_fleet_simulation.cc
@@ -134,10 +134,24 @@
 }
 
 size_t PlatformFleetSimulation::SendCall(size_t index, bool repeat_safe) {
-  const size_t number = m_calls.size();
   CallRecord call;
   call.repeat_safe = repeat_safe;
   call.instance = index;
+  return AddCall(call);
+}
+
+size_t PlatformFleetSimulation::SendLimitedCall(size_t index) {
+  CallRecord call;
+  call.repeat_safe = true;
+  call.limited = true;
+  call.instance = index;
+  return AddCall(call);
+}
+
+size_t PlatformFleetSimulation::AddCall(const CallRecord& added) {
+  const size_t number = m_calls.size();
+  CallRecord call = added;
+  const size_t index = call.instance;
   call.incarnation = m_instances[index].incarnation;
   call.ticket = ++m_last_ticket;
   call.sent_at = m_now;
@@ -147,9 +161,12 @@
   event.ticket = call.ticket;
   event.fingerprint = number + 1;
   event.time_left = kCallDeadline;
-  DeliverEvent(index, call.incarnation, [this, event, index, repeat_safe]() mutable -> Event::Any {
+  DeliverEvent(index, call.incarnation, [this, event, call]() mutable -> Event::Any {
+    const State& state = *m_instances[call.instance].state;
     event.now = m_now;
-    event.plan = m_instances[index].state->FindPlan("", repeat_safe ? "GET" : "POST", "/");
+    event.plan = state.FindPlan("", call.repeat_safe ? "GET" : "POST", "/");
+    if (call.limited)
+      event.account = state.FindAccount(kLimitedAccountKey);
     return event;
   });
   return number;
@@ -445,6 +462,16 @@
         fmt::format("{} received a call from i{} long after it told it that it leaves", endpoint.name, call.instance));
 }
 
+void PlatformFleetSimulation::CheckQuota() {
+  constexpr Millis kWindow{5'000};
+  constexpr double kMaxRuns = (kLimitedAccountRate * 5 + kLimitedAccountBurst) * 1.1 + 20;
+  m_limited_runs.push_back(m_now);
+  while (m_now - m_limited_runs.front() >= kWindow)
+    m_limited_runs.pop_front();
+  if (static_cast<double>(m_limited_runs.size()) > kMaxRuns)
+    ReportViolation(fmt::format("{} requests of an account ran in 5 s, over its quota", m_limited_runs.size()));
+}
+
 void PlatformFleetSimulation::CheckNoFalseLeavingMarks(size_t index) {
   const State& state = *m_instances[index].state;
   for (uint32_t position = 0; position < state.EndpointCount(); ++position) {
--- a/libs/core/tests/platform_fleet_simulation.h
+++ b/libs/core/tests/platform_fleet_simulation.h
@@ -3,6 +3,7 @@
 #include <array>
 #include <chrono>
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -39,6 +40,10 @@
   static constexpr size_t kAddresses = 8;
   static constexpr Millis kCallDeadline{1'500};
   static constexpr Millis kHoldOffDuration{1'500};
+  /** API key and limit of the only account. */
+  static constexpr const char* kLimitedAccountKey = "key";
+  static constexpr double kLimitedAccountRate = 2;
+  static constexpr double kLimitedAccountBurst = 4;
 
   explicit PlatformFleetSimulation(uint64_t seed);
   ~PlatformFleetSimulation();
@@ -47,6 +52,8 @@
 
   /** Sends a call under the plan that allows repeats, or under the one that does not; returns its index. */
   size_t SendCall(size_t instance, bool repeat_safe);
+  /** Like SendCall(), for a repeatable call of the account that has a quota. */
+  size_t SendLimitedCall(size_t instance);
   void DisconnectCaller(size_t call);
 
   void Pause(size_t instance);
@@ -161,6 +168,8 @@
   };
   struct CallRecord {
     bool repeat_safe = false;
+    /** Whether the call is one of the account that has a quota. */
+    bool limited = false;
     size_t instance = 0;
     uint64_t incarnation = 0;
     uint64_t ticket = 0;
@@ -240,6 +249,9 @@
   void CheckHoldOff(FakeEndpoint& endpoint, size_t instance);
   void CheckNoFalseLeavingMarks(size_t instance);
   void CheckRun(const FakeEndpoint& endpoint, const CallRecord& call);
+  /** Counts a run of a call of the account that has a quota, and reports a violation if there are too many. */
+  void CheckQuota();
+  size_t AddCall(const CallRecord& call);
   void CheckGenerations();
   void ReportViolation(const std::string& what);
   int InstanceByPeerAddress(const std::string& address) const;
@@ -252,6 +264,8 @@
   std::array<Instance, kInstances> m_instances;
   std::array<FakeEndpoint, kAddresses> m_endpoints;
   std::vector<CallRecord> m_calls;
+  /** Runs of calls of the account that has a quota, within the last window. */
+  std::deque<TimePoint> m_limited_runs;
   std::map<std::pair<size_t, uint64_t>, size_t> m_calls_by_ticket;
   std::array<uint64_t, kInstances> m_last_generations{};
   /** When the store acknowledged each generation, indexed by generation. */
--- a/libs/core/tests/platform_fleet_simulation_effects.cc
+++ b/libs/core/tests/platform_fleet_simulation_effects.cc
@@ -43,10 +43,17 @@
     plan.deadline = kCallDeadline;
     plan.objective_latency = Millis(400);
     plan.max_attempts = 2;
+    plan.is_public = true;
     // The plan of repeatable calls changes its service with each generation; the other plan keeps its service.
     plan.service = repeat_safe && generation % 2 == 1 ? "s" : "t";
     lists->plans.push_back(plan);
   }
+  Account account;
+  account.name = "limited";
+  account.keys = {kLimitedAccountKey};
+  account.rate_per_second = kLimitedAccountRate;
+  account.burst = kLimitedAccountBurst;
+  lists->accounts.push_back(account);
   return lists;
 }
 
@@ -391,6 +398,8 @@
     return;
   }
   ++call.runs;
+  if (call.limited)
+    CheckQuota();
   CheckRun(endpoint, call);
   if (!call.repeat_safe && !endpoint.other_service)
     ReportViolation(fmt::format("{} ran a call that no plan routes to its service", endpoint.name));
