--- a/libs/core/tests/fleet_fuzz_test.cc
+++ b/libs/core/tests/fleet_fuzz_test.cc
@@ -45,6 +45,17 @@
   }
 };
 
+/** Sends far more calls of the account with a quota than it may run, to all instances or to one. */
+struct SendLimitedCalls : Step {
+  void Act(PlatformFleetSimulation& simulation) const override {
+    for (unsigned i = 0; i < 50; ++i) {
+      const size_t instance = (pick + (pick % 2 == 0 ? i : 0)) % PlatformFleetSimulation::kInstances;
+      if (simulation.IsUp(instance) && simulation.StateOf(instance).CurrentPhase() != Phase::kClosing)
+        simulation.SendLimitedCall(instance);
+    }
+  }
+};
+
 struct DisconnectCaller : Step {
   void Act(PlatformFleetSimulation& simulation) const override {
     if (simulation.CallCount() > 0)
@@ -195,15 +206,15 @@
 uint64_t CheckRandomFailures(bool with_keys) {
   const auto seed = *rc::gen::inRange<uint64_t>(1, 1'000'000);
   auto simulation = std::make_unique<PlatformFleetSimulation>(seed, with_keys);
-  rc::state::check(
-      Model(), *simulation,
-      rc::state::gen::execOneOfWithArgs<
-          SendCalls, SendCalls, SendCalls, SendCalls, DisconnectCaller, PauseInstance, ResumeInstance, ResumeInstance,
-          KillInstance, RestartInstance, RestartInstance, RestartAllInstances, StopInstance, IsolateInstance,
-          ChangeStoreMode, ChangeStoreMode, TakeStoreDown, BringStoreUp, BringStoreUp, RestoreStore, ChangeReadLag,
-          CompactStoreHistory, MoveRoute, MoveRoute, DrainEndpoint, LeaveWithoutNotice, HoldOffRequests, CrashEndpoint,
-          StartEndpoint, StartEndpoint, RestartEndpoint, WriteDamagedEntry, LoseAnswers, ChangeGossipDropRate,
-          EvacuateDomain, EvacuateDomain, StartWarmup, LongDelay, LongDelay>());
+  rc::state::check(Model(), *simulation,
+                   rc::state::gen::execOneOfWithArgs<
+                       SendCalls, SendCalls, SendCalls, SendCalls, SendLimitedCalls, SendLimitedCalls, DisconnectCaller,
+                       PauseInstance, ResumeInstance, ResumeInstance, KillInstance, RestartInstance, RestartInstance,
+                       RestartAllInstances, StopInstance, IsolateInstance, ChangeStoreMode, ChangeStoreMode,
+                       TakeStoreDown, BringStoreUp, BringStoreUp, RestoreStore, ChangeReadLag, CompactStoreHistory,
+                       MoveRoute, MoveRoute, DrainEndpoint, LeaveWithoutNotice, HoldOffRequests, CrashEndpoint,
+                       StartEndpoint, StartEndpoint, RestartEndpoint, WriteDamagedEntry, LoseAnswers,
+                       ChangeGossipDropRate, EvacuateDomain, EvacuateDomain, StartWarmup, LongDelay, LongDelay>());
   simulation->RecoverAndCheck();
   RC_ASSERT(simulation->FirstViolation() == std::string());
   return simulation->EffectsHash();
--- a/libs/core/tests/platform_fleet_simulation_effects.cc
+++ b/libs/core/tests/platform_fleet_simulation_effects.cc
@@ -42,6 +42,7 @@
     plan.deadline = kCallDeadline;
     plan.objective_latency = Millis(400);
     plan.max_attempts = 2;
+    plan.is_public = !m_with_keys;
     // The plan of repeatable calls changes its service with each generation; the other plan keeps its service.
     plan.service = repeat_safe && generation % 2 == 1 ? "s" : "t";
     lists->plans.push_back(plan);
@@ -52,6 +53,12 @@
     account.keys = {fmt::format("k{}", generation), fmt::format("k{}", generation + 1)};
     lists->accounts.push_back(account);
   }
+  Account limited;
+  limited.name = "limited";
+  limited.keys = {kLimitedAccountKey};
+  limited.rate_per_second = kLimitedAccountRate;
+  limited.burst = kLimitedAccountBurst;
+  lists->accounts.push_back(limited);
   return lists;
 }
 
@@ -420,6 +427,8 @@
     return;
   }
   ++call.runs;
+  if (call.limited)
+    CheckQuota();
   CheckRun(endpoint, call);
   CheckEvacuation(address, index);
   CheckWarmup(endpoint, index);
