--- a/libs/core/tests/hedging_test.cc
+++ b/libs/core/tests/hedging_test.cc
@@ -49,6 +49,7 @@
   void Serve(int near, int far = 0) {
     m_instance.ReceiveLists(1, m_lists);
     std::vector<EndpointChange> changes;
+    changes.reserve(static_cast<size_t>(near + far));
     for (int i = 0; i < near; ++i)
       changes.push_back(SingleInstance::MakeChange("near" + std::to_string(i), 1'000 + static_cast<uint64_t>(i)));
     for (int i = 0; i < far; ++i)
@@ -57,7 +58,7 @@
   }
 
   /** Answers the load probes among the effects, and those that follow; returns the dispatches. */
-  std::vector<Dispatch> AnswerProbes(Effects effects, uint32_t in_flight = 0) {
+  std::vector<Dispatch> AnswerProbes(const Effects& effects, uint32_t in_flight = 0) {
     std::vector<Dispatch> dispatches = SingleInstance::EffectsOfType<Dispatch>(effects);
     for (const SendProbe& probe : SingleInstance::EffectsOfType<SendProbe>(effects)) {
       const auto more = AnswerProbes(m_instance.AnswerProbe(probe, in_flight, 1.0F), in_flight);
@@ -331,6 +332,29 @@
   }
 }
 
+// Guards against a limit that takes effect only after a restart, and against a change that grants the slack anew.
+TEST_CASE("the limit of the settings can be changed at run time") {
+  HedgingFixture fixture(TightOptions());
+  fixture.Serve(24);
+  fixture.RunUsual(100);
+  const auto set_limit = [&](double limit) {
+    const StateOptions& options = fixture.Parts().options;
+    fixture.Instance().HandleEvent(Event::SettingsChanged{fixture.Instance().Now(), options.retry_ratio,
+                                                          options.retry_slack, options.address_ttl,
+                                                          options.linger_limit, limit});
+  };
+  set_limit(0);
+  CHECK(fixture.Start().hedge_at == TimePoint::max());
+  const uint64_t sent_before = fixture.Counters().sent;
+  for (int i = 0; i < 20; ++i) {
+    set_limit(0);
+    set_limit(0.01);
+    fixture.RunWithLateOnes(1);
+  }
+  CHECK(fixture.Counters().sent - sent_before <= 1);
+  CHECK(fixture.Counters().refused > 0);
+}
+
 // Load: every fifth call is late, more than the limit pays for. Guards against hedges beyond the limit, and against a
 // log line for each refusal.
 TEST_CASE("when the limit is used up, hedges are refused, counted, and logged once a minute") {
--- a/libs/entry/tests/hedge_test.cc
+++ b/libs/entry/tests/hedge_test.cc
@@ -60,6 +60,19 @@
   CHECK(script.hung_connection_closed);
   CHECK(hedges.won == won_before + 1);
   CHECK(fixture.Call("c").body == "ok");
+  const Settings settings;
+  Counters counters;
+  const AdminPages pages(fixture.GetEngine(), settings, counters, nullptr, [] {});
+  const std::string text = pages.Render("/sassafras/counters").body;
+  for (const char* line :
+       {"sassafras_hedges_total{plan=\"p\"} 1\n", "sassafras_hedge_outcomes_total{plan=\"p\",outcome=\"won\"} 1\n",
+        "sassafras_hedge_outcomes_total{plan=\"p\",outcome=\"cancelled\"} 0\n",
+        "sassafras_hedge_outcomes_total{plan=\"p\",outcome=\"refused_by_limit\"} 0\n",
+        "sassafras_hedge_outcomes_total{plan=\"p\",outcome=\"held_back\"} 0\n",
+        "sassafras_hedge_extra_work_percent{plan=\"p\"} 4.55\n"}) {
+    CAPTURE(line);
+    CHECK(text.find(line) != std::string::npos);
+  }
 }
 
 }  // namespace
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -54,6 +54,8 @@
      "sent < kBoundedBytes"),
     ("hedge_limit_not_spent", CORE_SOURCES + "hedge_policy.cc", "  AllowanceOf(parts, call).Spend();\n", "",
      "fixture.Counters().sent"),
+    ("loser_not_cancelled", ENTRY_SOURCES + "call_exchange.cc", "      other->Cancel();\n", "      continue;\n",
+     "script.hung_connection_closed"),
     ("hedge_while_slots_are_scarce", CORE_SOURCES + "hedge_policy.cc", " && !AreSlotsScarce(service, now)", "",
      "fixture.Counters().held_back == 1"),
     ("lose_waiting_call", CORE_SOURCES + "dispatch.cc", "queue.Push(skipped[i]);", "(void)skipped[i];", "never"),
