--- a/libs/entry/tests/call_fixture.h
+++ b/libs/entry/tests/call_fixture.h
@@ -45,7 +45,8 @@
  */
 class CallFixture {
  public:
-  explicit CallFixture(const HttpDialect& dialect, StateOptions options = MakeOptions())
+  explicit CallFixture(const HttpDialect& dialect) : CallFixture(dialect, MakeOptions()) {}
+  CallFixture(const HttpDialect& dialect, const StateOptions& options)
       : m_dialect(dialect), m_engine(options, m_clock) {
     m_engine.SetControlSink(m_control);
   }
