--- a/libs/entry/src/fleet_link.cc
+++ b/libs/entry/src/fleet_link.cc
@@ -93,14 +93,14 @@
 void FleetLink::ProcessPlans(const PlansSnapshot& snapshot, ReadConsistency consistency, TimePoint started_at) {
   PostEvacuations(snapshot, consistency);
   m_plans_as_of = std::max(m_plans_as_of, snapshot.as_of);
+  if (snapshot.generation > m_engine.GetState().Generation())
+    PutPlansInForce(snapshot, Deflate(snapshot.document),
+                    consistency == ReadConsistency::kLinearizable ? "store" : "store, may lag");
   if (!snapshot.plans_status.ok()) {
     Log(LogLevel::kError, "plans_unusable", {{"error", MessageOf(snapshot.plans_status)}});
     m_stored_plans_unusable = consistency == ReadConsistency::kLinearizable || m_stored_plans_unusable;
     return;
   }
-  if (snapshot.generation > m_engine.GetState().Generation())
-    PutPlansInForce(snapshot, Deflate(snapshot.document),
-                    consistency == ReadConsistency::kLinearizable ? "store" : "store, may lag");
   if (consistency != ReadConsistency::kLinearizable)
     return;
   if (snapshot.generation > 0)
