--- a/libs/core/src/account_fairness.h
+++ b/libs/core/src/account_fairness.h
@@ -2,6 +2,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <tuple>
 
 #include <absl/container/flat_hash_map.h>
 
@@ -26,7 +27,7 @@
     /** Whether the account's held calls get slots at more than a fraction of the rate of all held calls. */
     bool has_share = true;
     double tag = 0;
-    friend auto operator<=>(const Rank&, const Rank&) = default;
+    bool operator<(const Rank& other) const { return std::tie(has_share, tag) < std::tie(other.has_share, other.tag); }
   };
 
   Rank RankOf(AccountHandle account) const;
--- a/libs/core/src/held_calls.cc
+++ b/libs/core/src/held_calls.cc
@@ -3,8 +3,8 @@
 #include <algorithm>
 #include <array>
 #include <chrono>
-#include <compare>
 #include <iterator>
+#include <tuple>
 #include <utility>
 #include <vector>
 
@@ -115,7 +115,9 @@
 struct SlotRank {
   uint8_t priority = 0;
   AccountFairness::Rank account;
-  friend auto operator<=>(const SlotRank&, const SlotRank&) = default;
+  bool operator<(const SlotRank& other) const {
+    return std::tie(priority, account) < std::tie(other.priority, other.account);
+  }
 };
 
 SlotRank RankOf(const StateParts& parts, const ServiceState& service, const CallState& call) {
@@ -143,7 +145,7 @@
       continue;
     const SlotRank rank = RankOf(parts, service, *call);
     // Of two calls with the same rank, the one held longer comes first in the list.
-    if (parts.calls.Find(next) != nullptr && next_rank <= rank)
+    if (parts.calls.Find(next) != nullptr && !(rank < next_rank))
       continue;
     next = handle;
     next_rank = rank;
@@ -196,7 +198,7 @@
   const CallHandle next = NextHeldCall(
       parts, service, endpoint, [latency](const CallState&) { return latency; }, now);
   const CallState* other = parts.calls.Find(next);
-  if (other == nullptr || RankOf(parts, service, *other) >= RankOf(parts, service, call))
+  if (other == nullptr || !(RankOf(parts, service, *other) < RankOf(parts, service, call)))
     return false;
   DispatchHeld(parts, next, endpoint, now, effects);
   const bool may_reprobe = parts.load_probe_budget.FillLevel() >= kReprobeBudgetLevel;
--- a/libs/core/tests/fairness_test.cc
+++ b/libs/core/tests/fairness_test.cc
@@ -103,7 +103,9 @@
     Handle(m_instance.HandleEvent(event));
   }
 
-  void Handle(Effects effects) {
+  void Handle(const Effects& received) {
+    // The next event overwrites those received.
+    const Effects effects = received;
     for (const auto& accepted : SingleInstance::EffectsOfType<Effect::Accepted>(effects))
       m_calls[accepted.ticket] = accepted.call;
     for (const Dispatch& dispatch : SingleInstance::EffectsOfType<Dispatch>(effects)) {
