--- a/libs/core/tests/fairness_test.cc
+++ b/libs/core/tests/fairness_test.cc
@@ -105,7 +105,7 @@
 
   void Handle(const Effects& received) {
     // The next event overwrites those received.
-    const Effects effects = received;
+    const Effects effects(received.begin(), received.end());
     for (const auto& accepted : SingleInstance::EffectsOfType<Effect::Accepted>(effects))
       m_calls[accepted.ticket] = accepted.call;
     for (const Dispatch& dispatch : SingleInstance::EffectsOfType<Dispatch>(effects)) {
