--- a/libs/core/tests/evacuation_test.cc
+++ b/libs/core/tests/evacuation_test.cc
@@ -147,14 +147,17 @@
 // Guards against a running request that the evacuation cuts off, and against a hedge of it within the domain.
 TEST_CASE("an evacuation while a request runs: it ends normally, and its hedge goes to another domain") {
   ServingInstance instance;
-  const Effect::Dispatch first = DispatchToA(instance);
-  instance.Advance(Millis(30));
-  Event::AttemptEnded ended;
-  ended.now = instance.Now();
-  ended.call = first.call;
-  ended.endpoint = first.endpoint;
-  instance.HandleEvent(ended);
-  // A hedge needs a known latency, which the first call gave.
+  // A hedge needs a known latency, which several answers give.
+  constexpr int kAnswers = 12;
+  for (int i = 0; i < kAnswers; ++i) {
+    const Effect::Dispatch first = DispatchToA(instance);
+    instance.Advance(Millis(30));
+    Event::AttemptEnded ended;
+    ended.now = instance.Now();
+    ended.call = first.call;
+    ended.endpoint = first.endpoint;
+    instance.HandleEvent(ended);
+  }
   const Effect::Dispatch second = DispatchToA(instance);
   REQUIRE(second.hedge_at != TimePoint::max());
   const Effects evacuated = instance.ReceiveEvacuations({"a"}, 20);
@@ -163,6 +166,7 @@
   const Effects hedging = instance.HandleEvent(Event::HedgeDue{instance.Now(), second.call});
   for (const Effect::SendProbe& probe : SingleInstance::EffectsOfType<Effect::SendProbe>(hedging))
     CHECK(instance.EndpointName(probe.endpoint) == "b1");
+  Event::AttemptEnded ended;
   ended.now = instance.Now();
   ended.call = second.call;
   ended.endpoint = second.endpoint;
--- a/libs/core/tests/platform_fleet_simulation.cc
+++ b/libs/core/tests/platform_fleet_simulation.cc
@@ -182,7 +182,7 @@
   DeliverEvent(index, call.incarnation, [this, event, call]() mutable -> Event::Any {
     const State& state = *m_instances[call.instance].state;
     event.now = m_now;
-    event.plan = state.FindPlan("", call.repeat_safe ? "GET" : "POST", "/");
+    event.plan = state.FindPlan("", call.repeat_safe ? "GET" : "POST", call.limited ? kLimitedPath : "/");
     const std::string key = call.limited ? std::string(kLimitedAccountKey) : fmt::format("k{}", call.key);
     if (call.limited || call.key > 0) {
       event.account = state.FindAccount(key);
--- a/libs/core/tests/platform_fleet_simulation.h
+++ b/libs/core/tests/platform_fleet_simulation.h
@@ -44,7 +44,8 @@
   /** Requests a second that an endpoint in warm-up tolerates, and the bound of what it may get. */
   static constexpr double kWarmupRate = 0.5;
   static constexpr size_t kMaxWarmupRequests = 8;
-  /** API key and limit of the only account. */
+  /** Path, API key and limit of the account that has a quota. */
+  static constexpr const char* kLimitedPath = "/limited/";
   static constexpr const char* kLimitedAccountKey = "key";
   static constexpr double kLimitedAccountRate = 2;
   static constexpr double kLimitedAccountBurst = 4;
--- a/libs/core/tests/platform_fleet_simulation_effects.cc
+++ b/libs/core/tests/platform_fleet_simulation_effects.cc
@@ -47,6 +47,12 @@
     plan.service = repeat_safe && generation % 2 == 1 ? "s" : "t";
     lists->plans.push_back(plan);
   }
+  // Calls of the account with a quota need its key: on a public route they would not count.
+  Plan limited_plan = lists->plans.front();
+  limited_plan.name = "limited";
+  limited_plan.path_prefix = kLimitedPath;
+  limited_plan.is_public = false;
+  lists->plans.push_back(limited_plan);
   if (m_with_keys) {
     Account account;
     account.name = "account";
--- a/libs/core/tests/quota_fleet.cc
+++ b/libs/core/tests/quota_fleet.cc
@@ -107,6 +107,7 @@
       std::make_unique<State>(MakeOptions(fmt::format("i{}", index), m_now, instance.incarnation, m_random()));
   instance.next_tick = m_now;
   DeliverLists(index);
+  HandleEvent(index, Event::EvacuationsReceived{m_now, {1, {}}});
   HandleEvent(index, Event::EndpointsReceived{m_now, kEndpoints, true, MakeEndpoints()});
 }
 
