--- a/libs/core/src/quota.cc
+++ b/libs/core/src/quota.cc
@@ -57,6 +57,8 @@
  * the first member or the peers are heard: single datagrams were lost, and the owner still grants the whole rate.
  */
 constexpr double kLossFactor = 0.05;
+/** Share of members that are heard, below which silent ones are taken to be heard by others. */
+constexpr double kSettledShare = 0.9;
 /** Share of its local share that a cut-off instance uses until its peers know that it is silent. */
 constexpr double kUnnoticedFactor = 0.4;
 /** Time for which a member counts as heard after its last datagram, and the period of queries to find out. */
@@ -151,18 +153,40 @@
   return cut_off ? 1 / known : 1 - silent / std::max(1.0, known);
 }
 
-/** Share of a shard's rate at which this instance grants tokens of it. */
-double RateFactor(StateParts& parts, uint64_t seed, TimePoint now, Effects& effects) {
-  const double present = PresentShare(parts, now);
+/** Number of silent members that come before this instance in the order of the shard. */
+int CountSilentBefore(const StateParts& parts, uint64_t seed, TimePoint now) {
+  const uint64_t own = HashCombine(seed, parts.self_hash);
+  const auto& entries = parts.members.All();
+  return static_cast<int>(std::count_if(entries.begin(), entries.end(), [&](const Membership::Entry& entry) {
+    const bool silent = !parts.members.IsAlive(entry, now) && now - entry.heard_at < kSilentMemberTime;
+    return silent && !entry.member.leaving && HashCombine(seed, entry.name_hash) < own;
+  }));
+}
+
+/** Part of a shard that this instance may use when it grants tokens of it. */
+QuotaShards::Part PartOf(StateParts& parts, uint64_t seed, TimePoint now, Effects& effects) {
+  QuotaShards::Part part;
+  part.rate = PresentShare(parts, now);
+  // If many members are silent to this instance, as after a start of all, those before it may be heard by others and
+  // then grant tokens too. Only instances that do not hear them ask this one.
+  const int silent_before = part.rate < kSettledShare ? CountSilentBefore(parts, seed, now) : 0;
+  if (silent_before > 0) {
+    part.rate *= std::max(kLossFactor, std::pow(1 - part.rate, silent_before));
+    part.burst = part.rate;
+  }
   const Membership::Entry* first = parts.members.FirstTwoFor(seed, now)[0];
   if (first == nullptr || first->name_hash == parts.self_hash)
-    return present;
+    return part;
   QuotaPeer& peer = PeerOf(parts, first->name_hash);
   if (now - peer.queried_at >= kPeerQueryPeriod) {
     peer.queried_at = now;
     SendQuotaRequest(parts, first->member.peer_address, {}, now, effects);
   }
-  return now - peer.heard_at < kPeerHeardTime ? present * kLossFactor : present;
+  if (now - peer.heard_at < kPeerHeardTime) {
+    part.rate *= kLossFactor;
+    part.burst = std::min(part.burst, kLossFactor);
+  }
+  return part;
 }
 
 QuotaShards::Grant GrantFromShard(StateParts& parts,
@@ -172,8 +196,8 @@
                                   Effects& effects) {
   const AccountState& state = parts.At(account);
   const uint64_t seed = QuotaShardSeed(state.name_hash, demand.shard);
-  const double factor = RateFactor(parts, seed, now, effects);
-  return parts.quota.shards.Take(state.name_hash, state.config, demand, factor, now);
+  const QuotaShards::Part part = PartOf(parts, seed, now, effects);
+  return parts.quota.shards.Take(state.name_hash, state.config, demand, part, now);
 }
 
 void Continue(StateParts& parts, CallHandle handle, TimePoint token_until, TimePoint now, Effects& effects) {
--- a/libs/core/src/quota_shards.cc
+++ b/libs/core/src/quota_shards.cc
@@ -12,6 +12,12 @@
 
 constexpr double kRatePerShard = 32;
 constexpr double kMaxShards = 16;
+/**
+ * Tokens that the buckets of an account hold in addition to its burst: a part of the 20 requests by which the limit of
+ * a window may be exceeded. Without them, calls that arrive unevenly are rejected below the limit if the burst is
+ * small.
+ */
+constexpr double kExtraBurst = 8;
 /** Lowest rate that is used to compute a delay. */
 constexpr double kMinRate = 1e-3;
 /** Greatest debt of a bucket, as the time that its rate needs to repay it. */
@@ -35,18 +41,18 @@
 QuotaShards::Grant QuotaShards::Take(uint64_t account_hash,
                                      const Account& account,
                                      const Demand& demand,
-                                     double rate_factor,
+                                     const Part& part,
                                      TimePoint now) {
   const uint32_t shards = QuotaShardCount(account.rate_per_second);
   // The sender may not know yet that the limit, and with it the number of shards, has changed.
   const auto [found, added] = m_buckets.try_emplace(QuotaShardSeed(account_hash, demand.shard % shards));
   Bucket& bucket = found->second;
   const double full_rate = account.rate_per_second / shards;
-  const double rate = full_rate * rate_factor;
+  const double rate = full_rate * part.rate;
   // A bucket that cannot hold one token would never grant any.
-  const double limit = std::max(1.0, account.burst / shards);
+  const double limit = std::max(1.0, (account.burst + kExtraBurst) / shards * part.burst);
   if (added)
-    bucket.tokens = std::max(1.0, limit / 2 * rate_factor);
+    bucket.tokens = std::max(1.0, std::min(account.burst / shards / 2, limit * part.rate));
   else
     bucket.tokens += Seconds(now - bucket.filled_at).count() * rate;
   bucket.tokens = std::clamp(bucket.tokens - demand.owed, -full_rate * kMaxDebtSeconds, limit);
--- a/libs/core/src/quota_shards.h
+++ b/libs/core/src/quota_shards.h
@@ -37,11 +37,15 @@
     std::chrono::milliseconds retry_after{};
   };
 
-  /**
-   * Debits the tokens owed and those granted.
-   * @param rate_factor  share of the account's rate at which the bucket has filled since its last use
-   */
-  Grant Take(uint64_t account_hash, const Account& account, const Demand& demand, double rate_factor, TimePoint now);
+  /** Part of its shard that an owner may use, because others may grant tokens of the same shard. */
+  struct Part {
+    /** Share of the rate at which the bucket has filled since its last use, and share of the burst that it holds. */
+    double rate = 1;
+    double burst = 1;
+  };
+
+  /** Debits the tokens owed and those granted. */
+  Grant Take(uint64_t account_hash, const Account& account, const Demand& demand, const Part& part, TimePoint now);
 
   /** Drops buckets that have been full and unused for kIdleTime. */
   void Expire(TimePoint now);
--- a/libs/core/tests/quota_test.cc
+++ b/libs/core/tests/quota_test.cc
@@ -239,6 +239,33 @@
   CHECK(fleet.WorstWindow(1) <= 1.0);
 }
 
+// Guards against several owners of one shard: after the start of many instances it takes them long to hear all others.
+TEST_CASE("quota: a wave right after, and some time after the start of 146 instances") {
+  std::vector<Account> accounts;
+  for (size_t i = 0; i < 20; ++i)
+    accounts.push_back(Limit("a" + std::to_string(i), 13, 13));
+  for (const Millis quiet : {Millis(0), Millis(7'000)}) {
+    CAPTURE(quiet.count());
+    QuotaFleet fleet(146, accounts);
+    fleet.SetLoads(LoadAll(fleet, accounts, 0.8));
+    fleet.Advance(quiet);
+    fleet.SetLoads(LoadAll(fleet, accounts, 5));
+    fleet.Advance(Millis(8'000));
+    for (size_t i = 0; i < accounts.size(); ++i)
+      CHECK(fleet.WorstWindow(i) <= 1.0);
+  }
+}
+
+// Guards against rejections of an account that is below its limit, but whose calls arrive unevenly.
+TEST_CASE("quota: an account with a small burst below its limit") {
+  QuotaFleet fleet(kInstances, {Limit("a", 5, 2)});
+  fleet.Advance(Millis(10'000));
+  // At 4 a second, one window of 5 s in twenty would by chance be over the limit.
+  fleet.SetLoads({{0, fleet.All(), 3}});
+  fleet.Advance(Millis(60'000));
+  CHECK(fleet.RejectedShare(0) <= 0.005);
+}
+
 // Guards against a Retry-After that many rejected callers get for one token.
 TEST_CASE("quota: rejected callers that return after Retry-After are mostly served then") {
   QuotaFleet fleet(kInstances, {Limit("a", 50, 25)});
