Quotas: while an account is over its limit, returning callers yield to new ones; keys are confirmed at the start

With key_revocation_limit the first read is linearizable now. - Of an account over its limit, calls that returned after a 429 took most tokens: they were answered late, while new ones were rejected. A call that states much less time than callers of its plan usually do no longer takes a token while the account is short of them.

--- a/libs/core/src/calls.cc
+++ b/libs/core/src/calls.cc
@@ -73,6 +73,15 @@
   return known ? Reason::kUnauthorized : Reason::kListsNotCurrent;
 }
 
+/** Updates the time that callers of the plan usually allow by what one of them stated, if it did. */
+void LearnCallerWait(PlanState& plan, Duration stated) {
+  constexpr int kDecline = 256;
+  if (stated >= kMaxCallerWait)
+    return;
+  Duration& usual = plan.usual_caller_wait;
+  usual = stated > usual ? stated : usual - (usual - stated) / kDecline;
+}
+
 CallHandle Accept(StateParts& parts, const Event::CallArrived& event, Effects& effects) {
   const CallHandle handle = parts.calls.Add();
   CallState& call = *parts.calls.Find(handle);
@@ -90,6 +99,7 @@
   const Duration limit = std::min<Duration>(event.time_left, parts.At(event.plan).config.deadline);
   call.deadline = ReceivedAt(event) + limit;
   call.caller_deadline = CallerDeadline(event);
+  LearnCallerWait(parts.At(event.plan), call.caller_deadline - call.arrived_at);
   effects.push_back(Effect::Accepted{event.ticket, handle});
   return handle;
 }
--- a/libs/core/src/control.cc
+++ b/libs/core/src/control.cc
@@ -68,6 +68,11 @@
   effects.push_back(Effect::PollStore{may_lag});
 }
 
+/** Whether calls may have to wait for a confirmation of the lists: whether there are API keys is not known yet. */
+bool NeedsConfirmationAtStart(const StateParts& parts) {
+  return parts.options.key_revocation_limit.count() > 0;
+}
+
 /** Polls the store if this instance is due to. */
 void PollIfDue(StateParts& parts, TimePoint now, Effects& effects) {
   const ListsTracker& lists = parts.lists;
@@ -75,8 +80,10 @@
   // With discovery the watch itself regularly confirms that nothing has changed.
   const bool polls = lists.watching && !parts.options.discovery && now - lists.last_poll >= kWatcherPollPeriod;
   if (starting || polls) {
-    // A stale read is enough with discovery: peers with newer lists notify a starting instance of them.
-    PollNow(parts, starting && parts.options.discovery, now, effects);
+    // A stale read is enough with discovery: peers with newer lists notify a starting instance of them. But it confirms
+    // no API keys, and after a loss of power no peer could either.
+    const bool may_lag = starting && parts.options.discovery && !NeedsConfirmationAtStart(parts);
+    PollNow(parts, may_lag, now, effects);
     return;
   }
   if (now - lists.store_confirmed_at < ListsTracker::kMaxConfirmationAge || !KnowsFleet(parts, now))
--- a/libs/core/src/plan_state.h
+++ b/libs/core/src/plan_state.h
@@ -3,6 +3,7 @@
 #include <memory>
 #include <vector>
 
+#include "base/clock.h"
 #include "base/handle.h"
 #include "core/plan_counters.h"
 #include "hedge_state.h"
@@ -20,6 +21,8 @@
   std::vector<PlanBranch> branches;
   uint32_t next_round_robin = 0;
   PlanHedging hedging;
+  /** Time that callers usually allow: the greatest one stated, which declines slowly if callers state less. */
+  Duration usual_caller_wait{};
   /** Virtual finish time of the last queued call, for fair queueing between plans of the same priority. */
   double virtual_finish = 0;
   PlanCounters totals;
--- a/libs/core/src/quota.cc
+++ b/libs/core/src/quota.cc
@@ -38,6 +38,9 @@
 constexpr Seconds kPrefetchTime{0.1};
 constexpr double kMaxPrefetch = 16;
 constexpr milliseconds kScarceTime{200};
+/** A caller that states less than this part of the usual time seems to return: callers come back after up to a third.
+ */
+constexpr double kReturnedCallerTime = 0.8;
 /** Time constant of the averages of arrivals and grants. */
 constexpr Seconds kRateTime{0.5};
 /** Hedges without a token that may be unreported. */
@@ -494,6 +497,16 @@
   }
 }
 
+/**
+ * Whether the caller seems to return after a rejection: it allows much less time than callers of the plan usually do.
+ * Other instances may have rejected it, so that there is no record of it here.
+ */
+bool SeemsToReturn(const StateParts& parts, const CallState& call) {
+  const Duration stated = call.caller_deadline - call.arrived_at;
+  const Duration usual = parts.plans[call.plan.Index()].usual_caller_wait;
+  return std::chrono::duration<double>(stated) < kReturnedCallerTime * std::chrono::duration<double>(usual);
+}
+
 }  // namespace
 
 bool AcquireQuota(StateParts& parts, CallHandle handle, TimePoint now, Effects& effects) {
@@ -507,7 +520,9 @@
   call.has_quota_token = call.quota_token_until != TimePoint();
   if (call.has_quota_token)
     return true;
-  if (now < client.denied_until || client.waiting.size() >= kMaxWaiting) {
+  // A token for a caller that has missed its objective already would make a new one miss it too.
+  const bool yields = now - client.denied_at < kScarceTime && call.attempts == 0 && SeemsToReturn(parts, call);
+  if (yields || now < client.denied_until || client.waiting.size() >= kMaxWaiting) {
     EndRejected(parts, handle, Reason::kOverQuota, now, effects);
     return false;
   }
