Quotas: a request that an endpoint refused to run keeps its token

Test: quota_waiting_test, 'a request that an endpoint refused to run keeps its token'. The fixture of 'retries count' took a refusal for an attempt that may have run; it breaks the connection now, which is as strict: such attempts do count.

--- a/libs/core/src/attempts.cc
+++ b/libs/core/src/attempts.cc
@@ -219,7 +219,7 @@
       --call->attempts_outstanding;
     if (!IsKnownNotRun(event.result))
       call->may_have_run = true;
-    else if (event.result != AttemptResult::kRefused)
+    else
       UndoSpendQuota(parts, *call);
     if (event.result == AttemptResult::kAnswered)
       EndAnswered(parts, event.call, event.failure_status, event.answer, event.now, effects);
--- a/libs/core/src/quota.h
+++ b/libs/core/src/quota.h
@@ -25,7 +25,7 @@
 /** Uses the token of the call for a dispatch; without one, the dispatch is reported to an owner as owed. */
 void SpendQuota(StateParts& parts, CallState& call, TimePoint now);
 
-/** Restores the token of a call whose latest attempt did not reach an endpoint. */
+/** Restores the token of a call whose latest attempt was not run by its endpoint. */
 void UndoSpendQuota(StateParts& parts, CallState& call);
 
 /** Returns the unused token of a call that ends to the stock of its account. */
