--- a/libs/core/src/hedge_state.h
+++ b/libs/core/src/plan_hedging.h
@@ -28,11 +28,4 @@
   TimePoint refusals_logged_at{};
 };
 
-/** What a service knows for the hedges of all its plans. */
-struct ServiceHedging {
-  HedgeAllowance allowance;
-  /** Moving average of the share of calls whose first attempt was late; see PlanHedging::late_after. */
-  float late_share = 0;
-};
-
 }  // namespace sassafras
--- a/libs/core/src/plan_state.h
+++ b/libs/core/src/plan_state.h
@@ -6,7 +6,7 @@
 #include "base/clock.h"
 #include "base/handle.h"
 #include "core/plan_counters.h"
-#include "hedge_state.h"
+#include "plan_hedging.h"
 #include "lists/plan.h"
 #include "outcome_history.h"
 #include "plan_branch.h"
--- a/libs/core/src/quota.cc
+++ b/libs/core/src/quota.cc
@@ -2,13 +2,13 @@
 
 #include <algorithm>
 #include <cmath>
-#include <limits>
 #include <utility>
 
 #include "base/hash.h"
 #include "call_end.h"
 #include "calls.h"
 #include "gossip.h"
+#include "quota_share.h"
 #include "quota_state.h"
 #include "roster.h"
 #include "state_parts.h"
@@ -45,36 +45,10 @@
 constexpr Seconds kRateTime{0.5};
 /** Hedges without a token that may be unreported. */
 constexpr uint32_t kMaxOwedByHedges = 2;
-/** An instance that has heard no peer for this long is taken to be cut off; peers gossip several times as often. */
-constexpr milliseconds kInTouchTime{400};
-/** Members that have been silent for longer are taken to have ended, not to use their local shares. */
-constexpr std::chrono::seconds kSilentMemberTime{60};
-/**
- * If the heartbeats of this share of the members are overdue at once, there is a partition: that they are silent is
- * taken for granted at twice the usual age of heartbeats instead of the silent timeout of a single member.
- */
-constexpr double kPartitionShare = 0.25;
-constexpr std::chrono::seconds kMinOverdueTime{1};
-/**
- * Share of the rate that a member grants in place of the first one, and of its local share that an instance uses, while
- * the first member or the peers are heard: single datagrams were lost, and the owner still grants the whole rate.
- */
-constexpr double kLossFactor = 0.02;
-/** Share of members that are heard, below which silent ones are taken to be heard by others. */
-constexpr double kSettledShare = 0.9;
-/** Share of its local share that a cut-off instance uses until its peers know that it is silent. */
-constexpr double kUnnoticedFactor = 0.4;
-/** Time for which a member counts as heard after its last datagram, and the period of queries to find out. */
-constexpr milliseconds kPeerHeardTime{500};
-constexpr milliseconds kPeerQueryPeriod{100};
-/** Instances without any burst that may hold a token of a local share, in addition to the burst. */
-constexpr double kMaxExtraShares = 10;
 /** Time without use after which the state of an account is dropped; longer than the delays of rejected callers. */
 constexpr std::chrono::seconds kClientIdleTime{30};
 /** Time without a rejection after which an account is logged as within its quota. */
 constexpr std::chrono::seconds kWithinQuotaTime{5};
-/** "share" in ASCII. */
-constexpr uint64_t kLocalShareSeed = 0x7368617265;
 
 bool IsLimited(const StateParts& parts, AccountHandle account) {
   return parts.accounts.IsActive(account) && parts.accounts[account].config.rate_per_second > 0;
@@ -112,86 +86,6 @@
   parts.quota.next_due = std::min(parts.quota.next_due, due);
 }
 
-bool IsInTouch(const StateParts& parts, TimePoint now) {
-  return now - parts.quota.heard_at < kInTouchTime;
-}
-
-QuotaPeer& PeerOf(StateParts& parts, uint64_t name_hash) {
-  auto& peers = parts.quota.peers;
-  const auto found =
-      std::find_if(peers.begin(), peers.end(), [&](const QuotaPeer& peer) { return peer.name_hash == name_hash; });
-  if (found != peers.end())
-    return *found;
-  peers.push_back({name_hash});
-  return peers.back();
-}
-
-/** Largest number of instances that may have to share the quota without talking to each other. */
-double LocalShares(const StateParts& parts, TimePoint now) {
-  if (!KnowsFleet(parts, now))
-    return parts.FleetDivisor();
-  return static_cast<double>(std::max<size_t>({1, parts.largest_fleet, parts.members.CountServing(now)}));
-}
-
-/**
- * Share of the rate that owners may grant while silent members may use their local shares, or have owners of their own.
- */
-double PresentShare(const StateParts& parts, TimePoint now) {
-  double known = 0;
-  double silent = 0;
-  double overdue = 0;
-  const Duration usual_age = std::max<Duration>(kMinOverdueTime, 2 * parts.members.MeanHeartbeatAge());
-  for (const Membership::Entry& entry : parts.members.All()) {
-    if (entry.member.leaving)
-      continue;
-    ++known;
-    if (!parts.members.IsAlive(entry, now) && now - entry.heard_at < kSilentMemberTime)
-      ++silent;
-    if (now - entry.heard_at > usual_age && now - entry.heard_at < kSilentMemberTime)
-      ++overdue;
-  }
-  if (overdue >= kPartitionShare * known)
-    silent = overdue;
-  const bool cut_off = !IsInTouch(parts, now) && parts.members.CountServing(now) > 1;
-  return cut_off ? 1 / known : 1 - silent / std::max(1.0, known);
-}
-
-/** Number of silent members that come before this instance in the order of the shard. */
-int CountSilentBefore(const StateParts& parts, uint64_t seed, TimePoint now) {
-  const uint64_t own = HashCombine(seed, parts.self_hash);
-  const auto& entries = parts.members.All();
-  return static_cast<int>(std::count_if(entries.begin(), entries.end(), [&](const Membership::Entry& entry) {
-    const bool silent = !parts.members.IsAlive(entry, now) && now - entry.heard_at < kSilentMemberTime;
-    return silent && !entry.member.leaving && HashCombine(seed, entry.name_hash) < own;
-  }));
-}
-
-/** Part of a shard that this instance may use when it grants tokens of it. */
-QuotaShards::Part PartOf(StateParts& parts, uint64_t seed, TimePoint now, Effects& effects) {
-  QuotaShards::Part part;
-  part.rate = PresentShare(parts, now);
-  // If many members are silent to this instance, as after a start of all, those before it may be heard by others and
-  // then grant tokens too. Only instances that do not hear them ask this one.
-  const int silent_before = part.rate < kSettledShare ? CountSilentBefore(parts, seed, now) : 0;
-  if (silent_before > 0) {
-    part.rate *= std::max(kLossFactor, std::pow(1 - part.rate, silent_before));
-    part.burst = part.rate;
-  }
-  const Membership::Entry* first = parts.members.FirstTwoFor(seed, now)[0];
-  if (first == nullptr || first->name_hash == parts.self_hash)
-    return part;
-  QuotaPeer& peer = PeerOf(parts, first->name_hash);
-  if (now - peer.queried_at >= kPeerQueryPeriod) {
-    peer.queried_at = now;
-    SendQuotaRequest(parts, first->member.peer_address, {}, now, effects);
-  }
-  if (now - peer.heard_at < kPeerHeardTime) {
-    part.rate *= kLossFactor;
-    part.burst = std::min(part.burst, kLossFactor);
-  }
-  return part;
-}
-
 QuotaShards::Grant GrantFromShard(StateParts& parts,
                                   AccountHandle account,
                                   const QuotaShards::Demand& demand,
@@ -199,7 +93,7 @@
                                   Effects& effects) {
   const AccountState& state = parts.At(account);
   const uint64_t seed = QuotaShardSeed(state.name_hash, demand.shard);
-  const QuotaShards::Part part = PartOf(parts, seed, now, effects);
+  const QuotaShards::Part part = QuotaPartOf(parts, seed, now, effects);
   return parts.quota.shards.Take(state.name_hash, state.config, demand, part, now);
 }
 
@@ -247,47 +141,13 @@
     EndRejected(parts, TakeFirstWaiting(client), Reason::kOverQuota, now, effects);
 }
 
-/**
- * Takes a token of the part of the account's quota that this instance may use while no owner replies.
- * @return false if there is none
- */
-bool TakeFromLocalShare(StateParts& parts, AccountHandle account, TimePoint now) {
-  QuotaClient& client = ClientOf(parts, account);
-  const AccountState& state = parts.At(account);
-  const double instances = LocalShares(parts, now);
-  // If each of many instances held one token of a small quota, all of them could exceed it at once, so that only some
-  // have a share. They are chosen by hash, because they cannot agree.
-  const double shares = std::min(instances, std::max(1.0, state.config.burst + kMaxExtraShares));
-  const auto position =
-      static_cast<double>(HashCombine(HashCombine(kLocalShareSeed, state.name_hash), parts.self_hash));
-  if (position / static_cast<double>(std::numeric_limits<uint64_t>::max()) * instances > shares)
-    return false;
-  double factor = 1;
-  if (IsInTouch(parts, now))
-    factor = kLossFactor;
-  else if (now - parts.quota.heard_at < Membership::kMaxSilentTimeout)
-    factor = kUnnoticedFactor;
-  const double limit = std::max(1.0, state.config.burst / shares);
-  if (client.fallback_filled_at == TimePoint())
-    client.fallback_tokens = limit / 2 * factor;
-  else
-    client.fallback_tokens +=
-        Seconds(now - client.fallback_filled_at).count() * state.config.rate_per_second / shares * factor;
-  client.fallback_tokens = std::min(client.fallback_tokens, limit);
-  client.fallback_filled_at = now;
-  if (client.fallback_tokens < 1)
-    return false;
-  client.fallback_tokens -= 1;
-  return true;
-}
-
 /** Admits waiting calls from the local share and rejects the others, because no owner replies. */
 void ServeFromLocalShare(StateParts& parts, AccountHandle account, TimePoint now, Effects& effects) {
   QuotaClient& client = ClientOf(parts, account);
   client.owed = 0;
   while (FirstWaiting(parts, client, now, effects) != nullptr) {
-    if (!TakeFromLocalShare(parts, account, now)) {
-      if (!IsInTouch(parts, now))
+    if (!TakeFromLocalShare(parts, parts.At(account), client, now)) {
+      if (!IsInTouchWithPeers(parts, now))
         client.denied_until = now + kMaxDenialMemory;
       RejectWaiting(parts, client, now, effects);
       return;
@@ -341,7 +201,7 @@
       HandleReply(parts, account, grant, now, effects);
       return;
     }
-    QuotaPeer& peer = PeerOf(parts, entry->name_hash);
+    QuotaPeer& peer = QuotaPeerOf(parts, entry->name_hash);
     if (now < peer.passed_over_until)
       continue;
     peer.queried_at = now;
@@ -416,9 +276,9 @@
   client.request = {};
   // The request may have arrived, but a debt that is stated twice only delays tokens.
   client.owed += client.owed_in_request;
-  QuotaPeer& peer = PeerOf(parts, client.member);
+  QuotaPeer& peer = QuotaPeerOf(parts, client.member);
   ++peer.unanswered;
-  if (peer.unanswered >= kPassOverAfter || !IsInTouch(parts, now))
+  if (peer.unanswered >= kPassOverAfter || !IsInTouchWithPeers(parts, now))
     peer.passed_over_until = now + kPassOverTime;
   AskSecondMember(parts, account, now, effects);
 }
@@ -574,7 +434,7 @@
   client.rejected_at = now;
   AddToRate(client.granted_rate, client.granted_rate_at, 0, now);
   // One rejected caller is promised each token that this instance expects, so that they do not all return for one.
-  const double local_share = parts.At(account).config.rate_per_second / LocalShares(parts, now);
+  const double local_share = parts.At(account).config.rate_per_second / QuotaShareCount(parts, now);
   const Seconds step(1 / std::max({client.granted_rate, local_share, 1e-3}));
   const Duration limit = QuotaShards::kMaxRetryAfter;
   const Duration promised = std::max<Duration>(Duration::zero(), client.promised_until - now) +
--- a/libs/core/src/service_state.h
+++ b/libs/core/src/service_state.h
@@ -8,7 +8,7 @@
 #include "base/clock.h"
 #include "base/handle.h"
 #include "core/call_handle.h"
-#include "hedge_state.h"
+#include "service_hedging.h"
 #include "lists/plan.h"
 #include "lists/service.h"
 #include "wait_queue.h"
