--- a/libs/core/src/dispatch.cc
+++ b/libs/core/src/dispatch.cc
@@ -7,8 +7,8 @@
 #include <utility>
 
 #include "call_end.h"
-#include "key_confirmation.h"
 #include "hedge_policy.h"
+#include "key_confirmation.h"
 #include "load_probing.h"
 #include "probe_results.h"
 #include "quota.h"
--- a/libs/entry/src/call_exchange.h
+++ b/libs/entry/src/call_exchange.h
@@ -96,7 +96,7 @@
   CallHandle Call() const { return m_call; }
   /**
    * Removes the API key and the caller's account headers from the head of an attempt, and sets the name of the account;
-   * without accounts in the lists, leaves the head unchanged. A key that may have been revoked names no account.
+   * without accounts in the lists, leaves the head unchanged. On a public route, a key that may be revoked names none.
    */
   void SetAccount(http::request_header<>& head) const;
   bool HasRunningAttempts() const { return !m_attempts.empty(); }
