--- a/libs/entry/src/attempt.cc
+++ b/libs/entry/src/attempt.cc
@@ -111,6 +111,8 @@
   }
   if (kind != ResponseKind::kMatching || (m_response->need_eof() && !m_dialect.AllowsCloseDelimitedBody()))
     co_return AttemptResult::kMalformed;
+  if (!CanTellWholeBody())
+    co_return AttemptResult::kBroken;
   // Small responses are buffered completely, so that the caller never receives a truncated one.
   const error_code body_error = co_await BufferResponseBody();
   if (body_error)
@@ -250,6 +252,12 @@
   co_return error;
 }
 
+bool Attempt::CanTellWholeBody() const {
+  // A socket reports a reset once. If the write of the request has received that error, reads return the bytes that
+  // arrived before the reset and then an orderly end.
+  return m_request_fully_sent || !m_response->need_eof();
+}
+
 asio::awaitable<error_code> Attempt::BufferResponseBody() {
   error_code error;
   while (!m_response->is_done() && !error && m_body.size() < kMaxBufferedResponseBytes) {
--- a/libs/entry/src/attempt.h
+++ b/libs/entry/src/attempt.h
@@ -38,6 +38,11 @@
   asio::awaitable<error_code> ReadResponseHead();
   /** Reads response heads until one matches this request; responses to earlier requests may precede it. */
   asio::awaitable<error_code> ReadMatchingResponseHead(ResponseKind& kind);
+  /**
+   * Whether the end of the response body can be told from a connection that broke off within it. A body that only the
+   * end of the connection delimits has no such end if the request could not be sent completely.
+   */
+  bool CanTellWholeBody() const;
   /** Reads the response body up to the buffering limit; returns an error if the body ended early. */
   asio::awaitable<error_code> BufferResponseBody();
   asio::awaitable<error_code> DiscardResponseBody();
--- a/libs/entry/tests/early_answer_test.cc
+++ b/libs/entry/tests/early_answer_test.cc
@@ -63,5 +63,66 @@
   CHECK(endpoint.RequestCount() == 3);
 }
 
+/** How an endpoint ends its connection while a request is still being written to it. */
+enum class Ending {
+  kReset,
+  /** An orderly close, which becomes a reset because bytes of the request are unread. */
+  kCloseUnread,
+};
+
+/** Answers an upload with `body` and without a length, once its head is read, and ends the connection. */
+ScriptedEndpoint::Script AnswerWithoutLength(const std::string& body, Ending ending) {
+  return [body, ending](asio::ip::tcp::socket& socket,
+                        const ScriptedEndpoint::Request& /*request*/) -> asio::awaitable<bool> {
+    co_await WriteBytes(socket, "HTTP/1.1 200 OK\r\nSassafras-Request-Id: own\r\n\r\n" + body);
+    error_code ignored;
+    if (ending == Ending::kReset)
+      socket.set_option(asio::socket_base::linger(true, 0), ignored);
+    socket.close(ignored);
+    co_return false;
+  };
+}
+
+// Guards against the part of a body that has arrived being taken for the whole: the write that fails because of the
+// reset takes the error from the socket, and a read then sees an orderly end.
+TEST_CASE("an early answer without a length that is reset while the request is written never looks whole") {
+  const EchoingDialect dialect;
+  constexpr size_t kMoreThanIsBuffered = 300u << 10u;
+  for (const Ending ending : {Ending::kReset, Ending::kCloseUnread}) {
+    for (const size_t size : {size_t{0}, size_t{9}, kMoreThanIsBuffered}) {
+      CAPTURE(static_cast<int>(ending));
+      CAPTURE(size);
+      CallFixture fixture(dialect);
+      ScriptedEndpoint& endpoint = fixture.AddEndpoint(AnswerWithoutLength(std::string(size, 'y'), ending));
+      endpoint.AnswerAfterHead();
+      fixture.Serve(Repeat::kNever, std::chrono::seconds(10));
+      const ReceivedAnswer received = fixture.Send(Upload("own"));
+      CHECK_FALSE((received.whole && received.status == 200));
+      CHECK(endpoint.RequestCount() == 1);
+      CHECK(fixture.Pool().IdleCount() == 0);
+      CHECK(fixture.GetEngine().GetState().CallsInProgress() == 0);
+    }
+  }
+}
+
+// Guards against refusing such an answer where it is known to be whole.
+TEST_CASE("an early answer without a length reaches its caller if the endpoint reads the request to its end") {
+  const EchoingDialect dialect;
+  CallFixture fixture(dialect);
+  const auto answer = [](asio::ip::tcp::socket& socket, const ScriptedEndpoint::Request&) -> asio::awaitable<bool> {
+    error_code ignored;
+    co_await WriteBytes(socket, "HTTP/1.1 200 OK\r\nSassafras-Request-Id: own\r\n\r\nthe whole body");
+    socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+    co_return true;
+  };
+  ScriptedEndpoint& endpoint = fixture.AddEndpoint(answer);
+  endpoint.AnswerAfterHead();
+  fixture.Serve(Repeat::kNever, std::chrono::seconds(10));
+  const ReceivedAnswer received = fixture.Send(Upload("own"));
+  CHECK(received.whole);
+  CHECK(received.status == 200);
+  CHECK(received.body == "the whole body");
+}
+
 }  // namespace
 }  // namespace sassafras
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -50,6 +50,8 @@
      "CountOverdue"),
     ("cut_body_as_whole", ENTRY_SOURCES + "attempt.cc", "if (!m_response->is_done()) {", "if (false) {",
      "received.whole"),
+    ("reset_as_end_of_body", ENTRY_SOURCES + "attempt.cc", "return m_request_fully_sent || !m_response->need_eof();",
+     "return true;", "received.whole && received.status == 200"),
     ("status_of_any_three_digits", ENTRY_SOURCES + "attempt.cc", "if (IsFinalStatus(status))",
      "if (!IsInterimStatus(status))", "fixture.Call(\"own\").status == 502"),
     ("full_endpoint_blamed", CORE_SOURCES + "attempts.cc", "  if (WasSilenceWhenFull(parts, event, call))\n    return;\n", "",
