Answers: a line of a head that begins with a blank makes it no answer (MIXED)

What callers saw: an endpoint's answer whose head held a line such as ' Content-Length: 2' reached them as a success. The line came as the end of the value before it, and the body was framed by what else the head said.

Cause: the HTTP parser takes such a line for the continuation of the line before it (obsolete line folding). It may as well be a field whose name begins with a blank: two readers of one head then disagree on its fields and on where the body ends. The parser joins the lines itself, so nothing behind it could tell.

Why this works: ReadResponseHead() looks at the bytes that the parser has just taken as the head, and refuses a line end that is followed by a blank. RFC 9112, 5.2 lets a gateway discard such an answer. All four readers of answers use it: calls and hedges, probes, replies of the store and of peers, streams of the store.

A status of 000 was handled already (invalid_status_test).

--- a/libs/entry/src/attempt.cc
+++ b/libs/entry/src/attempt.cc
@@ -10,6 +10,7 @@
 #include "entry/http_dialect.h"
 #include "net/http_client.h"
 #include "net/http_status.h"
+#include "net/response_head.h"
 #include "read_deadline.h"
 #include "upstream_headers.h"
 #include "upstream_pool.h"
@@ -210,7 +211,7 @@
   }
 }
 
-asio::awaitable<error_code> Attempt::ReadResponseHead() {
+asio::awaitable<error_code> Attempt::ReadFinalResponseHead() {
   const bool head_request = m_exchange.Head().method() == http::verb::head;
   error_code error;
   for (int interim = 0; interim <= kMaxInterimResponses; ++interim) {
@@ -218,7 +219,7 @@
     m_response->header_limit(kMaxResponseHeadBytes);
     m_response->body_limit(boost::none);
     m_response->skip(head_request);
-    co_await http::async_read_header(m_connection->stream, m_connection->buffer, *m_response, AwaitWithError(error));
+    error = co_await ReadResponseHead(m_connection->stream, m_connection->buffer, *m_response);
     if (error)
       co_return error;
     const unsigned status = m_response->get().result_int();
@@ -238,7 +239,7 @@
 asio::awaitable<error_code> Attempt::ReadMatchingResponseHead(ResponseKind& kind) {
   error_code error;
   for (int mismatched = 0; mismatched <= kMaxMismatchedResponses; ++mismatched) {
-    error = co_await ReadResponseHead();
+    error = co_await ReadFinalResponseHead();
     if (error)
       co_return error;
     kind = m_dialect.Classify(m_exchange.Head(), m_response->get());
--- a/libs/entry/src/attempt.h
+++ b/libs/entry/src/attempt.h
@@ -35,7 +35,8 @@
   bool MaySend();
   asio::awaitable<error_code> SendRequest();
   asio::awaitable<error_code> SendStreamedBody(http::request<http::buffer_body> request);
-  asio::awaitable<error_code> ReadResponseHead();
+  /** Reads response heads until one is not that of an interim response. */
+  asio::awaitable<error_code> ReadFinalResponseHead();
   /** Reads response heads until one matches this request; responses to earlier requests may precede it. */
   asio::awaitable<error_code> ReadMatchingResponseHead(ResponseKind& kind);
   /**
--- a/libs/entry/src/prober.cc
+++ b/libs/entry/src/prober.cc
@@ -13,6 +13,7 @@
 #include "lists/endpoint.h"
 #include "net/http_client.h"
 #include "net/http_status.h"
+#include "net/response_head.h"
 #include "upstream_connection.h"
 #include "upstream_pool.h"
 
@@ -89,7 +90,9 @@
   http::response_parser<http::string_body> parser;
   parser.header_limit(kMaxProbeHeadBytes);
   parser.body_limit(kMaxProbeBodyBytes);
-  co_await http::async_read(connection->stream, connection->buffer, parser, AwaitWithError(error));
+  error = co_await ReadResponseHead(connection->stream, connection->buffer, parser);
+  if (!error)
+    co_await http::async_read(connection->stream, connection->buffer, parser, AwaitWithError(error));
   if (error)
     co_return error;
   const http::response<http::string_body>& response = parser.get();
--- a/libs/net/src/http_client.cc
+++ b/libs/net/src/http_client.cc
@@ -12,6 +12,7 @@
 #include "base/error.h"
 #include "base/parse_number.h"
 #include "net/http_status.h"
+#include "net/response_head.h"
 
 namespace sassafras {
 namespace {
@@ -114,7 +115,9 @@
   beast::flat_buffer buffer;
   http::response_parser<http::string_body> parser;
   parser.body_limit(kMaxReplyBytes);
-  co_await http::async_read(stream, buffer, parser, RedirectErrorTo(error));
+  error = co_await ReadResponseHead(stream, buffer, parser);
+  if (!error)
+    co_await http::async_read(stream, buffer, parser, RedirectErrorTo(error));
   if (!error && !IsFinalStatus(parser.get().result_int()))
     error = http::error::bad_status;
   if (error)
@@ -146,7 +149,7 @@
   http::response_parser<http::buffer_body> parser;
   parser.body_limit(boost::none);
   if (!error)
-    co_await http::async_read_header(stream, buffer, parser, RedirectErrorTo(error));
+    error = co_await ReadResponseHead(stream, buffer, parser);
   if (!error && !IsFinalStatus(parser.get().result_int()))
     error = http::error::bad_status;
   std::string pending;
