Replies of the store and of peers: bytes without end take bounded memory (LOST)

What callers saw, on another system of this kind: a machine kept all bytes of an answer that never ended, ran out of memory, and the requests of its other clients ended with it.

Cause: the head of a chunk and the trailers are parsed only once they are complete, and until then they wait in a buffer. For endpoints that buffer has had a limit of 64 KiB; SendHttp() and StreamHttp(), which read replies of the store and of peers, had none. Heads (8 KiB) and bodies (8 MiB) had limits.

Why this works: the buffer now has the limit that endpoints have, in one constant beside ReadResponseHead(); a full buffer ends the read with an error, and the reply counts as lost.

Calls, hedges and probes held already (endless_answer_test, prober_test). New rows of the former say so for chunk sizes, chunk extensions and trailers of an answer that is the call's own, which were covered only for answers to other requests.

--- a/libs/entry/tests/endless_answer_test.cc
+++ b/libs/entry/tests/endless_answer_test.cc
@@ -7,6 +7,8 @@
 #include "call_fixture.h"
 #include "echoing_dialect.h"
 #include "entry/native_dialect.h"
+#include "net/http_client.h"
+#include "net/stream_canceller.h"
 
 namespace sassafras {
 namespace {
@@ -35,6 +37,7 @@
 
 const std::vector<EndlessAnswer>& AnswersWithoutEnd() {
   static const std::string chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+  static const std::string own = "HTTP/1.1 200 OK\r\nSassafras-Request-Id: own\r\nTransfer-Encoding: chunked\r\n\r\n";
   static const std::string stray = "HTTP/1.1 200 OK\r\nSassafras-Request-Id: other\r\nContent-Length: 0\r\n\r\n";
   static const std::vector<EndlessAnswer> answers = {
       {"no HTTP", "no answer", Repeated("x")},
@@ -44,6 +47,9 @@
       {"interim responses", "", Repeated("HTTP/1.1 100 Continue\r\n\r\n")},
       {"chunk extension", chunked + "5;", Repeated("x")},
       {"trailers", chunked + "0\r\n", Repeated("X-Filler: x\r\n")},
+      {"chunk size of the answer", own, Repeated("0")},
+      {"chunk extension of the answer", own + "5;", Repeated("x")},
+      {"trailers of the answer", own + "0\r\n", Repeated("X-Filler: x\r\n")},
       {"answers to other requests", "", Repeated(stray)},
   };
   return answers;
@@ -142,5 +148,60 @@
   CHECK(faulty.RequestCount() + sound.RequestCount() == kCalls);
 }
 
+/** Replies of a store or a peer that have no end. */
+std::vector<EndlessAnswer> RepliesWithoutEnd() {
+  std::vector<EndlessAnswer> replies = AnswersWithoutEnd();
+  // The first of them is a whole reply, whatever follows it: its connection is not used again.
+  std::erase_if(replies, [](const EndlessAnswer& answer) { return answer.name == "answers to other requests"; });
+  const std::string chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+  replies.push_back({"chunk size", chunked, Repeated("0")});
+  replies.push_back({"body without a length", "HTTP/1.1 200 OK\r\n\r\n", Repeated("x")});
+  replies.push_back({"body in chunks", chunked, "400\r\n" + std::string(1'024, 'x') + "\r\n"});
+  return replies;
+}
+
+// Guards against a store or a peer, or what else serves at its address, taking memory without bound.
+TEST_CASE("a reply of the store or of a peer that has no end costs bounded memory and is an error") {
+  for (const EndlessAnswer& reply : RepliesWithoutEnd()) {
+    CAPTURE(reply.name);
+    asio::io_context context;
+    ManualClock clock;
+    size_t sent = 0;
+    const ScriptedEndpoint endpoint(context, PlayEndlessly(reply, clock, sent));
+    absl::Status status;
+    const auto run = [&]() -> asio::awaitable<void> {
+      const auto received = co_await SendHttp(endpoint.Address(), "GET", "/x", "", std::chrono::minutes(1));
+      status = received.status();
+      context.stop();
+    };
+    asio::co_spawn(context, run(), asio::detached);
+    context.run();
+    CHECK_FALSE(status.ok());
+    CHECK(sent < kBoundedBytes);
+  }
+}
+
+// The same for what a watch of the store reads; complete lines are passed on and take no memory.
+TEST_CASE("a stream of the store that has no end of a line costs bounded memory") {
+  for (const EndlessAnswer& reply : RepliesWithoutEnd()) {
+    CAPTURE(reply.name);
+    asio::io_context context;
+    ManualClock clock;
+    size_t sent = 0;
+    const ScriptedEndpoint endpoint(context, PlayEndlessly(reply, clock, sent));
+    StreamCanceller canceller;
+    absl::Status status;
+    const auto run = [&]() -> asio::awaitable<void> {
+      status = co_await StreamHttp(
+          endpoint.Address(), "/x", "", std::chrono::minutes(1), [](std::string_view) {}, canceller);
+      context.stop();
+    };
+    asio::co_spawn(context, run(), asio::detached);
+    context.run();
+    CHECK_FALSE(status.ok());
+    CHECK(sent < kBoundedBytes);
+  }
+}
+
 }  // namespace
 }  // namespace sassafras
--- a/libs/net/include/net/response_head.h
+++ b/libs/net/include/net/response_head.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <cstddef>
+
 #include <boost/asio/awaitable.hpp>
 #include <boost/beast/core/error.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -8,6 +10,12 @@
 
 namespace sassafras {
 
+/**
+ * Most bytes of a response that are read but not parsed yet. The head, the head of a chunk and trailers are parsed only
+ * once they are complete, and the other side could send any of them without end.
+ */
+constexpr size_t kMaxUnparsedResponseBytes = 64u << 10u;
+
 /** Parser of a response with any type of body. */
 using ResponseParser = boost::beast::http::basic_parser<false>;
 
--- a/libs/net/src/http_client.cc
+++ b/libs/net/src/http_client.cc
@@ -22,7 +22,7 @@
 namespace http = beast::http;
 using boost::system::error_code;
 
-/** Largest reply of SendHttp(), and largest unfinished line of StreamHttp(). */
+/** Largest body of a reply of SendHttp(), and largest unfinished line of StreamHttp(). */
 constexpr uint64_t kMaxReplyBytes = 8u << 20u;
 
 auto RedirectErrorTo(error_code& error) {
@@ -112,7 +112,7 @@
   co_await http::async_write(stream, request, RedirectErrorTo(error));
   if (error)
     co_return ReplyLostError(address, error);
-  beast::flat_buffer buffer;
+  beast::flat_buffer buffer(kMaxUnparsedResponseBytes);
   http::response_parser<http::string_body> parser;
   parser.body_limit(kMaxReplyBytes);
   error = co_await ReadResponseHead(stream, buffer, parser);
@@ -145,7 +145,7 @@
   const http::request<http::string_body> request = MakeRequest(address, "POST", target, std::move(body));
   error_code error;
   co_await http::async_write(stream, request, RedirectErrorTo(error));
-  beast::flat_buffer buffer;
+  beast::flat_buffer buffer(kMaxUnparsedResponseBytes);
   http::response_parser<http::buffer_body> parser;
   parser.body_limit(boost::none);
   if (!error)
