--- a/libs/entry/src/attempt.cc
+++ b/libs/entry/src/attempt.cc
@@ -114,6 +114,8 @@
     co_return AttemptResult::kMalformed;
   if (!CanTellWholeBody())
     co_return AttemptResult::kBroken;
+  // Copied now: the parser adds the fields of a trailer to those of the head.
+  m_answer_head = m_response->get();
   // Small responses are buffered completely, so that the caller never receives a truncated one.
   const error_code body_error = co_await BufferResponseBody();
   if (body_error)
@@ -320,10 +322,9 @@
 }
 
 asio::awaitable<AttemptResult> Attempt::RelayResponse() {
-  http::response_header<> head = m_response->get();
-  RemoveHopByHopHeaders(head);
-  head.version(11);
-  http::response<http::buffer_body> answer(std::move(head));
+  RemoveHopByHopHeaders(m_answer_head);
+  m_answer_head.version(11);
+  http::response<http::buffer_body> answer(std::move(m_answer_head));
   answer.keep_alive(m_exchange.KeepAlive());
   if (m_target.record_answer)
     StartRecording(answer);
--- a/libs/entry/src/attempt.h
+++ b/libs/entry/src/attempt.h
@@ -65,6 +65,8 @@
   AttemptTarget m_target;
   std::unique_ptr<UpstreamConnection> m_connection;
   std::optional<Response> m_response;
+  /** Head of the response to this request, without the fields of a trailer. */
+  http::response_header<> m_answer_head;
   /** Response body read so far. */
   std::string m_body;
   bool m_cancelled = false;
--- a/libs/entry/src/prober.cc
+++ b/libs/entry/src/prober.cc
@@ -91,17 +91,20 @@
   parser.header_limit(kMaxProbeHeadBytes);
   parser.body_limit(kMaxProbeBodyBytes);
   error = co_await ReadResponseHead(connection->stream, connection->buffer, parser);
-  if (!error)
-    co_await http::async_read(connection->stream, connection->buffer, parser, AwaitWithError(error));
   if (error)
     co_return error;
   const http::response<http::string_body>& response = parser.get();
   // After an interim response the final one still follows: the next request on the connection would receive it.
   if (!IsFinalStatus(response.result_int()) || m_dialect.IsMismatchedProbeResponse(response, name))
     co_return http::error::bad_value;
-  ended.load = m_dialect.ReadLoad(response);
-  ended.load.unhealthy = response.result() != http::status::ok;
-  ended.answered = ended.load.present || !ended.load.unhealthy;
+  // Read now: the parser adds the fields of a trailer to those of the head.
+  LoadReport load = m_dialect.ReadLoad(response);
+  load.unhealthy = response.result() != http::status::ok;
+  co_await http::async_read(connection->stream, connection->buffer, parser, AwaitWithError(error));
+  if (error)
+    co_return error;
+  ended.answered = load.present || !load.unhealthy;
+  ended.load = load;
   if (response.keep_alive() && connection->buffer.size() == 0)
     m_pool.Return(address, std::move(connection));
   co_return error;
--- a/libs/net/src/http_client.cc
+++ b/libs/net/src/http_client.cc
@@ -116,16 +116,18 @@
   http::response_parser<http::string_body> parser;
   parser.body_limit(kMaxReplyBytes);
   error = co_await ReadResponseHead(stream, buffer, parser);
-  if (!error)
-    co_await http::async_read(stream, buffer, parser, RedirectErrorTo(error));
   if (!error && !IsFinalStatus(parser.get().result_int()))
     error = http::error::bad_status;
   if (error)
     co_return ReplyLostError(address, error);
   HttpReply reply;
   reply.status = static_cast<int>(parser.get().result_int());
+  // Copied now: the parser adds the fields of a trailer to those of the head.
+  reply.headers = parser.get().base();
+  co_await http::async_read(stream, buffer, parser, RedirectErrorTo(error));
+  if (error)
+    co_return ReplyLostError(address, error);
   reply.body = std::move(parser.get().body());
-  reply.headers = std::move(parser.get().base());
   co_return reply;
 }
 
