--- a/libs/core/include/core/state_options.h
+++ b/libs/core/include/core/state_options.h
@@ -29,7 +29,7 @@
   uint64_t record_bytes_limit = 16u << 20u;
   /** How long callers may cache an answer with addresses. */
   std::chrono::milliseconds address_ttl{5'000};
-  /** Longest time that a leaving instance still accepts calls. */
+  /** Longest time that a leaving instance still accepts calls; what has not begun to run soon after it is rejected. */
   std::chrono::milliseconds linger_limit = std::chrono::hours(1);
   /**
    * Extra attempts that the fleet may make per service: the tokens that each call adds to the budget, and the maximum
--- a/libs/core/src/call_end.cc
+++ b/libs/core/src/call_end.cc
@@ -142,6 +142,7 @@
     case Reason::kOverloaded:
       return random_part(0.15, 0.33);
     case Reason::kListsNotCurrent:
+    case Reason::kStopping:
     case Reason::kRefusedByUpstreams:
     case Reason::kConnectFailed:
       return random_part(0.03, 0.12);
--- a/libs/core/src/calls.cc
+++ b/libs/core/src/calls.cc
@@ -210,6 +210,10 @@
     Reject(parts, event, Reason::kNotReady, effects);
     return;
   }
+  if (event.now >= parts.admit_until) {
+    Reject(parts, event, Reason::kStopping, effects);
+    return;
+  }
   if (!event.plan.IsValid() || !parts.At(event.plan).active) {
     Reject(parts, event, parts.lists.AreCurrent(event.now) ? Reason::kNoPlan : Reason::kListsNotCurrent, effects);
     return;
--- a/libs/core/src/control.cc
+++ b/libs/core/src/control.cc
@@ -49,6 +49,8 @@
 constexpr seconds kMaxDirectoryLag{60};
 /** Time for the other instances to learn that this one is leaving. */
 constexpr seconds kLeavePropagationTime{2};
+/** Time to read the requests that have arrived when a leaving instance closes its listeners. */
+constexpr milliseconds kLastReadTime{250};
 
 void UpdateWatch(StateParts& parts, TimePoint now, Effects& effects) {
   const bool watch = parts.phase != Phase::kClosing && IsWatcher(parts, now);
@@ -355,6 +357,7 @@
   const Duration linger =
       std::min<Duration>(kLeavePropagationTime + parts.options.address_ttl, parts.options.linger_limit);
   parts.close_at = served ? event.now + linger : event.now;
+  parts.admit_until = event.now + parts.options.linger_limit + kLastReadTime;
   ReleaseSeats(parts, event.now, effects);
   AnnounceLeaving(parts, event.now, effects);
   SendGossipRound(parts, event.now, effects);
--- a/libs/core/src/dispatch.cc
+++ b/libs/core/src/dispatch.cc
@@ -167,9 +167,12 @@
       const CallState* call = parts.calls.Find(entry.call);
       if (call == nullptr || call->stage != Stage::kWaiting)
         return true;
-      if (now < entry.deadline)
+      if (now >= entry.deadline)
+        RejectExpired(parts, entry, now, effects);
+      else if (now >= parts.admit_until)
+        EndRejected(parts, entry.call, Reason::kStopping, now, effects);
+      else
         return false;
-      RejectExpired(parts, entry, now, effects);
       return true;
     });
   }
--- a/libs/core/src/dispatch.h
+++ b/libs/core/src/dispatch.h
@@ -38,7 +38,7 @@
 /** Dispatches waiting calls of the service while endpoints have room. */
 void DispatchWaiting(StateParts& parts, ServiceState& service, TimePoint now, Effects& effects);
 
-/** Rejects waiting calls of the service whose deadline has passed. */
+/** Rejects waiting calls of the service whose deadline has passed, and all once a leaving instance admits none. */
 void RejectExpiredWaiting(StateParts& parts, ServiceState& service, TimePoint now, Effects& effects);
 
 /** Returns the number of calls that wait for an endpoint. */
--- a/libs/core/src/state_parts.h
+++ b/libs/core/src/state_parts.h
@@ -56,6 +56,8 @@
   Phase phase = Phase::kStarting;
   /** When a leaving instance closes its listeners. */
   TimePoint close_at{};
+  /** When a leaving instance stops admitting calls: what it passed on later might not end before the process does. */
+  TimePoint admit_until = TimePoint::max();
 
   CallerLimits limits;
   AccountTable accounts;
--- a/libs/entry/src/caller_session.cc
+++ b/libs/entry/src/caller_session.cc
@@ -234,10 +234,13 @@
   return plan.IsValid() ? state.PlanConfig(plan).deadline : kMaxRequestTime;
 }
 
+bool CallerSession::IsLeaving() const {
+  const Phase phase = m_engine.GetState().CurrentPhase();
+  return m_closing || phase == Phase::kLeaving || phase == Phase::kClosing;
+}
+
 asio::awaitable<bool> CallerSession::ServeCall(std::unique_ptr<Parser> parser) {
-  // A leaving instance closes its connections soon, so callers are told not to reuse them.
-  const bool leaving = m_closing || m_engine.GetState().CurrentPhase() == Phase::kLeaving;
-  const bool keep_alive = parser->get().keep_alive() && !leaving;
+  const bool keep_alive = parser->get().keep_alive() && !IsLeaving();
   const std::string method(ToStringView(parser->get().method_string()));
   const std::string target(ToStringView(parser->get().target()));
   auto exchange =
@@ -274,7 +277,7 @@
 }
 
 asio::awaitable<bool> CallerSession::FinishCall(CallExchange& exchange, CallExchange::Completion completion) {
-  const bool keep_alive = exchange.KeepAlive() && exchange.BodyComplete() && !m_closing;
+  const bool keep_alive = exchange.KeepAlive() && exchange.BodyComplete() && !IsLeaving();
   const bool head_request = exchange.Request().get().method() == http::verb::head;
   switch (completion) {
     case CallExchange::Completion::kAnswered:
