Planned stops: a stop limit shorter than address answers cuts no calls (LOST)

What callers saw: on an instance with 'stop_limit' below 'address_ttl' and two seconds, and without 'kill_after', calls were taken until the end of a planned stop and those in progress then were cut without an answer.

Cause: the time for which a stopping instance accepts calls was limited by 'kill_after' only, not by 'stop_limit', at which the process ends by itself.

Why this works: the part of the stop in which calls are accepted is taken from the shorter of the two times, so that the rest is left for the last calls. With 'kill_after' below 'stop_limit', as on the users' platform, nothing changes.

--- a/libs/entry/src/entry_instance.cc
+++ b/libs/entry/src/entry_instance.cc
@@ -62,8 +62,8 @@
   options.fleet_limit = settings.fleet_limit;
   options.record_limit = settings.record_limit;
   options.address_ttl = duration_cast<milliseconds>(settings.address_ttl);
-  if (settings.kill_after.count() > 0)
-    options.linger_limit = MaxServingTimeAfterStop(duration_cast<milliseconds>(settings.kill_after));
+  options.linger_limit = MaxServingTimeAfterStop(duration_cast<milliseconds>(settings.kill_after),
+                                                 duration_cast<milliseconds>(settings.stop_limit));
   options.probing = settings.probing;
   options.late_binding = settings.late_binding;
   options.retry_ratio = settings.retry_ratio;
--- a/libs/entry/tests/stop_limits_test.cc
+++ b/libs/entry/tests/stop_limits_test.cc
@@ -8,9 +8,13 @@
 using std::chrono::milliseconds;
 
 TEST_CASE("a stopping process accepts calls for less than half of its time, so that long calls can still complete") {
-  const milliseconds kill_after(6'000);
-  CHECK(MaxServingTimeAfterStop(kill_after) < kill_after / 2);
-  CHECK(MaxServingTimeAfterStop(kill_after) > kill_after / 3);
+  const milliseconds time(6'000);
+  const milliseconds longer(60'000);
+  const milliseconds never(0);
+  CHECK(MaxServingTimeAfterStop(time, longer) < time / 2);
+  CHECK(MaxServingTimeAfterStop(time, longer) > time / 3);
+  CHECK(MaxServingTimeAfterStop(longer, time) == MaxServingTimeAfterStop(time, longer));
+  CHECK(MaxServingTimeAfterStop(never, time) == MaxServingTimeAfterStop(time, longer));
 }
 
 TEST_CASE("a process exits before it is killed, and calls in progress may use almost all of the time until then") {
--- a/tests/process/leaving_test.py
+++ b/tests/process/leaving_test.py
@@ -93,3 +93,19 @@
         assert "stop_limit_reached" in (lab.dir / f"{entry.name}.log").read_text()
         load.wait()
         assert all(outcome == "lost" or outcome.startswith("unknown") for _, _, outcome in lab.call_log()), lab.call_log()[:5]
+
+
+def test_a_stop_limit_shorter_than_address_answers_cuts_nothing():
+    # Callers may use the instance for 10 s after the request to stop, of which the instance has 3 s.
+    with Lab(base_port=24000, address_ttl="10s", settings='stop_limit = "3s"\n') as lab:
+        entry = lab.entries[0]
+        load = lab.start_caller(
+            "name=invoices,method=POST,path=/arve,rate=60,work-us=300000,fixed-work=1,deadline-ms=2000", seconds=6)
+        time.sleep(2)
+        entry.process.send_signal(signal.SIGTERM)
+        code = entry.process.wait()
+        log = (lab.dir / f"{entry.name}.log").read_text()
+        assert "stop_limit_reached" not in log, [line for line in log.splitlines() if "stop_limit_reached" in line]
+        assert code == 0, f"the exit code {code} reports that calls were cut"
+        load.wait()
+        check_not_run_never_ran(lab)
