--- a/libs/entry/src/caller_session.h
+++ b/libs/entry/src/caller_session.h
@@ -40,8 +40,7 @@
   /** Reads bytes that have already arrived, without waiting; returns whether there were any. */
   bool ReadAvailable();
   asio::awaitable<bool> ServeRequest();
-  /** Whether the connection will be closed soon because the instance stops, so that callers are told not to reuse it.
-   */
+  /** Whether the instance stops and closes its connections soon, so that callers are told not to reuse them. */
   bool IsLeaving() const;
   asio::awaitable<bool> ServeCall(std::unique_ptr<Parser> parser);
   asio::awaitable<bool> ServePage(Parser& parser);
--- a/libs/entry/tests/early_answer_test.cc
+++ b/libs/entry/tests/early_answer_test.cc
@@ -5,6 +5,9 @@
 
 #include "call_fixture.h"
 #include "echoing_dialect.h"
+#include "entry/native_dialect.h"
+#include "net/http_client.h"
+#include "prober.h"
 
 namespace sassafras {
 namespace {
@@ -124,5 +127,52 @@
   CHECK(received.body == "the whole body");
 }
 
+// Guards against a part of a reply being decoded.
+TEST_CASE("a reply without a length that is reset while its request is written, or after it, is an error") {
+  for (const Ending ending : {Ending::kReset, Ending::kCloseUnread}) {
+    for (const size_t size : {size_t{0}, kBodyBytes}) {
+      CAPTURE(static_cast<int>(ending));
+      CAPTURE(size);
+      asio::io_context context;
+      ScriptedEndpoint endpoint(context, AnswerWithoutLength("{}", ending));
+      endpoint.AnswerAfterHead();
+      absl::Status status;
+      const auto run = [&]() -> asio::awaitable<void> {
+        const auto reply =
+            co_await SendHttp(endpoint.Address(), "POST", "/x", std::string(size, 'x'), std::chrono::seconds(5));
+        status = reply.status();
+        context.stop();
+      };
+      asio::co_spawn(context, run(), asio::detached);
+      context.run();
+      // With nothing unread the close stays an orderly one, and the reply is whole.
+      const bool whole = ending == Ending::kCloseUnread && size == 0;
+      CHECK(status.ok() == whole);
+    }
+  }
+}
+
+// Guards against the load in an answer to a probe that broke off.
+TEST_CASE("a probe's answer without a length that is reset counts as no answer") {
+  const NativeDialect dialect;
+  CallFixture fixture(dialect);
+  const auto reset = [](asio::ip::tcp::socket& socket, const ScriptedEndpoint::Request&) -> asio::awaitable<bool> {
+    co_await WriteBytes(socket, "HTTP/1.1 200 OK\r\nUpstream-Load: 0\r\nUpstream-Draining: 1\r\n\r\npart");
+    error_code ignored;
+    socket.set_option(asio::socket_base::linger(true, 0), ignored);
+    socket.close(ignored);
+    co_return false;
+  };
+  const ScriptedEndpoint& endpoint = fixture.AddEndpoint(reset);
+  fixture.Serve(Repeat::kNever, std::chrono::seconds(10));
+  Prober prober(fixture.Context().get_executor(), fixture.GetEngine(), fixture.Pool(), dialect);
+  prober.Send({EndpointHandle(0), TimePoint::max(), {}});
+  fixture.RunUntil([&] { return endpoint.RequestCount() == 1 && endpoint.OpenConnectionCount() == 0; });
+  while (fixture.Context().poll() > 0) {
+  }
+  CHECK_FALSE(fixture.GetEngine().GetState().IsLeaving(EndpointHandle(0)));
+  CHECK(fixture.Pool().IdleCount() == 0);
+}
+
 }  // namespace
 }  // namespace sassafras
--- a/libs/entry/tests/invalid_field_name_test.cc
+++ b/libs/entry/tests/invalid_field_name_test.cc
@@ -82,6 +82,28 @@
   }
 }
 
+// Guards against a line that is told from the one before it only where both arrive in one read.
+TEST_CASE("an answer with a line that begins with a blank is none, however its bytes arrive") {
+  const EchoingDialect dialect;
+  const std::string answer = kBefore + " Content-Length: 2\r\n" + kId + kEnd;
+  for (size_t first = 1; first < answer.size(); ++first) {
+    CAPTURE(first);
+    CallFixture fixture(dialect);
+    const auto play_in_two = [&](asio::ip::tcp::socket& socket,
+                                 const ScriptedEndpoint::Request& /*request*/) -> asio::awaitable<bool> {
+      co_await WriteBytes(socket, answer.substr(0, first));
+      asio::steady_timer pause(fixture.Context(), std::chrono::milliseconds(1));
+      error_code ignored;
+      co_await pause.async_wait(AwaitWithError(ignored));
+      const bool written = co_await WriteBytes(socket, answer.substr(first));
+      co_return written;
+    };
+    fixture.AddEndpoint(play_in_two);
+    fixture.Serve(Repeat::kNever, kDeadline);
+    CHECK(fixture.Call("own").status == 502);
+  }
+}
+
 // Guards against an idempotent call that fails although another endpoint could answer it.
 TEST_CASE("an idempotent call goes to another endpoint after an answer with an invalid field name") {
   for (const std::string& line : LinesWith(' ')) {
