Calls: what a call may do stays as its plan said when it was admitted (TWICE)

What callers saw: a route was split and one part kept its name and became safe.

Cause: new lists overwrite the row of a plan, which is found by its name, while calls in progress keep a handle of the row. Whether a call may be repeated, hedged or sent once more, and how often, was read from the row when the attempt ended: from a plan that the request had never matched.

Change: CallTerms, taken from the plan at admission, hold what may be repeated, the attempts, the kind of work and the objective. A repeat or hedge also needs that the lists in force still permit it. On related paths: the end of a call whose caller has gone now agrees with the I/O layer, which already kept its own copy. Budgets and the limit of hedges stay current.

Why it works: no list that comes later can turn a call into one that may be repeated.

--- a/libs/core/src/attempts.cc
+++ b/libs/core/src/attempts.cc
@@ -44,13 +44,12 @@
  * the retry budget or, if that is used up, from the hedge budget.
  */
 bool TryAcquireRetry(StateParts& parts, const CallState& call, AttemptResult result, TimePoint now) {
-  const PlanState& plan = parts.At(call.plan);
-  const bool repeatable = plan.config.repeat == Repeat::kSafe || !call.may_have_run;
+  const bool repeatable = MayRepeat(parts, call) || !call.may_have_run;
   const bool no_answer = result == AttemptResult::kBroken || result == AttemptResult::kMalformed;
   const bool retryable = IsKnownNotRun(result) || no_answer;
   if (!repeatable || !retryable || !call.replayable)
     return false;
-  if (call.attempts >= MaxAttempts(plan.config) || now >= call.deadline)
+  if (call.attempts >= MaxAttempts(call) || now >= call.deadline)
     return false;
   if (parts.quarantine.IsQuarantined(call.fingerprint, now))
     return false;
@@ -89,10 +88,9 @@
   // Divides by the slowdown that the endpoint had last reported at the start of the attempt: the slowdown changes many
   // times a second.
   const float normalized_us = micros / call.reported_slowdowns[index];
-  const PlanState& plan = parts.At(call.plan);
   UpdateAverage(parts.At(endpoint).latency_us, normalized_us);
   ServiceState& service = parts.ServiceOf(call);
-  float& mean = service.LatencyFor(plan.config.work);
+  float& mean = service.LatencyFor(call.terms.work);
   if (mean > 0)
     UpdateNearFullSlowdown(service, call.utilizations[index], normalized_us / mean);
   // With few free slots or a queue the latency includes more than the work itself, so it is not learned.
--- a/libs/core/src/call_end.cc
+++ b/libs/core/src/call_end.cc
@@ -79,7 +79,7 @@
                  TimePoint now,
                  Effects& effects) {
   const CallState call = *parts.calls.Find(handle);
-  const bool slow = now - call.arrived_at > parts.At(call.plan).config.objective_latency;
+  const bool slow = now - call.arrived_at > call.terms.objective_latency;
   if (failure_status)
     CountOutcome(parts, call, &PlanCounters::failed, now);
   else
--- a/libs/core/src/call_state.h
+++ b/libs/core/src/call_state.h
@@ -5,6 +5,7 @@
 
 #include "base/clock.h"
 #include "base/handle.h"
+#include "call_terms.h"
 #include "core/call_handle.h"
 
 namespace sassafras {
@@ -36,7 +37,9 @@
   bool counted_late = false;
   /** Whether an attempt ended that may have run the request. */
   bool may_have_run = false;
+  /** The plan that admitted the call, for its statistics and its endpoints. */
   PlanHandle plan;
+  CallTerms terms;
   /** Client account of the call; invalid if its plan needs no API key or there are no accounts. */
   AccountHandle account;
   /** Hash64() of the API key with which the call was admitted. */
--- a/libs/core/src/calls.cc
+++ b/libs/core/src/calls.cc
@@ -86,6 +86,7 @@
   const CallHandle handle = parts.calls.Add();
   CallState& call = *parts.calls.Find(handle);
   call.plan = event.plan;
+  call.terms = TermsOf(parts.At(event.plan).config);
   if (NeedsKey(parts, event)) {
     call.account = event.account;
     call.api_key_hash = event.api_key_hash;
@@ -107,7 +108,7 @@
 /** Dispatches the call, or queues it if other calls are waiting already. */
 void DispatchOrEnqueue(StateParts& parts, CallHandle handle, TimePoint now, Effects& effects) {
   const CallState& call = *parts.calls.Find(handle);
-  const bool others_wait = !parts.ServiceOf(call).QueueFor(parts.At(call.plan).config.work).Empty();
+  const bool others_wait = !parts.ServiceOf(call).QueueFor(call.terms.work).Empty();
   if (others_wait)
     Enqueue(parts, handle, now, effects);
   else
@@ -268,7 +269,7 @@
   }
   if (call->stage == Stage::kRunning) {
     // A request that must not be repeated runs to its end, because its caller may still fetch the answer with its key.
-    if (parts.At(call->plan).config.repeat == Repeat::kNever)
+    if (call->terms.repeat == Repeat::kNever)
       return;
     EndCancelled(parts, event.call, true, event.now, effects);
     return;
--- a/libs/core/src/dispatch.cc
+++ b/libs/core/src/dispatch.cc
@@ -75,8 +75,12 @@
 
 }  // namespace
 
-size_t MaxAttempts(const Plan& plan) {
-  return std::min<size_t>(CallState::kMaxAttempts, plan.max_attempts);
+size_t MaxAttempts(const CallState& call) {
+  return std::min<size_t>(CallState::kMaxAttempts, call.terms.max_attempts);
+}
+
+bool MayRepeat(StateParts& parts, const CallState& call) {
+  return call.terms.repeat == Repeat::kSafe && parts.At(call.plan).config.repeat == Repeat::kSafe;
 }
 
 void Dispatch(StateParts& parts, CallHandle handle, EndpointHandle endpoint, TimePoint now, Effects& effects) {
@@ -139,7 +143,7 @@
   CallState& call = *parts.calls.Find(handle);
   PlanState& plan = parts.At(call.plan);
   ServiceState& service = parts.ServiceOf(call);
-  WaitQueue& queue = service.QueueFor(plan.config.work);
+  WaitQueue& queue = service.QueueFor(call.terms.work);
   if (queue.Size() >= parts.options.queue_limit) {
     const auto evicted = queue.EvictLessUrgent(call.priority);
     if (!evicted.has_value()) {
--- a/libs/core/src/dispatch.h
+++ b/libs/core/src/dispatch.h
@@ -10,12 +10,18 @@
 
 namespace sassafras {
 
+struct CallState;
 struct StateParts;
-struct Plan;
 struct ServiceState;
 
-/** Returns the maximum number of attempts of a call of the plan. */
-size_t MaxAttempts(const Plan& plan);
+/** Returns the maximum number of attempts of the call. */
+size_t MaxAttempts(const CallState& call);
+
+/**
+ * Whether the request of the call may be run more than once: its plan said so when it was admitted, and no later lists
+ * have withdrawn that.
+ */
+bool MayRepeat(StateParts& parts, const CallState& call);
 
 /** Starts an attempt of the call at the endpoint. */
 void Dispatch(StateParts& parts, CallHandle handle, EndpointHandle endpoint, TimePoint now, Effects& effects);
--- a/libs/core/src/full_endpoints.cc
+++ b/libs/core/src/full_endpoints.cc
@@ -5,6 +5,7 @@
 #include <cmath>
 #include <optional>
 
+#include "dispatch.h"
 #include "latency_estimate.h"
 #include "probe_results.h"
 #include "selection.h"
@@ -136,8 +137,7 @@
 }
 
 bool NeedsCertainRoom(StateParts& parts, const CallState& call, TimePoint now) {
-  return parts.At(call.plan).config.repeat == Repeat::kNever &&
-         SilencesAt(parts.ServiceOf(call), now) > kSilencesToBeCareful;
+  return !MayRepeat(parts, call) && SilencesAt(parts.ServiceOf(call), now) > kSilencesToBeCareful;
 }
 
 bool HasCertainRoom(StateParts& parts, const CallState& call, EndpointHandle endpoint) {
--- a/libs/core/src/hedge_policy.cc
+++ b/libs/core/src/hedge_policy.cc
@@ -62,9 +62,9 @@
 /** Whether the call may be hedged at all, whatever the load and the allowance. */
 bool MayHedge(StateParts& parts, const CallState& call) {
   const PlanState& plan = parts.At(call.plan);
-  return parts.options.hedging && HedgeLimit(parts, call) > 0 && plan.config.repeat == Repeat::kSafe &&
-         call.replayable && call.hedge_index == 0 && plan.hedging.delay.count() > 0 &&
-         call.attempts < MaxAttempts(plan.config) && !parts.quarantine.IsSuspect(call.fingerprint);
+  return parts.options.hedging && HedgeLimit(parts, call) > 0 && MayRepeat(parts, call) && call.replayable &&
+         call.hedge_index == 0 && plan.hedging.delay.count() > 0 && call.attempts < MaxAttempts(call) &&
+         !parts.quarantine.IsSuspect(call.fingerprint);
 }
 
 bool IsSlowAsWhole(const ServiceState& service) {
@@ -174,10 +174,9 @@
 TimePoint HedgeTime(StateParts& parts, const CallState& call, TimePoint now) {
   if (!MayHedge(parts, call))
     return TimePoint::max();
-  const PlanState& plan = parts.At(call.plan);
-  const PlanHedging& hedging = plan.hedging;
+  const PlanHedging& hedging = parts.At(call.plan).hedging;
   // A hedge that starts later than this would usually miss the objective or the deadline.
-  const TimePoint objective = call.arrived_at + plan.config.objective_latency;
+  const TimePoint objective = call.arrived_at + call.terms.objective_latency;
   const TimePoint last_useful = std::min(objective, call.deadline) - hedging.median;
   const TimePoint due = std::max(std::min(now + hedging.delay, last_useful), now + hedging.earliest_delay);
   return due + hedging.median < call.deadline ? due : TimePoint::max();
--- a/libs/core/src/held_calls.cc
+++ b/libs/core/src/held_calls.cc
@@ -83,8 +83,8 @@
 
 }  // namespace
 
-Duration MaxProbeWait(StateParts& parts, const CallState& call) {
-  return parts.At(call.plan).config.objective_latency / kObjectiveLatencyDivisor;
+Duration MaxProbeWait(const CallState& call) {
+  return call.terms.objective_latency / kObjectiveLatencyDivisor;
 }
 
 bool HoldForBetter(StateParts& parts,
@@ -94,7 +94,7 @@
                    TimePoint now,
                    Effects& effects) {
   CallState& call = *parts.calls.Find(handle);
-  const Duration max_hold = MaxProbeWait(parts, call);
+  const Duration max_hold = MaxProbeWait(call);
   if (now + kReprobeDelay - call.arrived_at > max_hold)
     return false;
   const bool may_reprobe = parts.load_probe_budget.FillLevel() >= kReprobeBudgetLevel;
@@ -141,7 +141,7 @@
     const CallState* call = parts.calls.Find(handle);
     if (!IsHeld(call) || !IsEligible(parts, *call, endpoint, now))
       continue;
-    if (estimate_of(*call) > MaxAcceptableLatency(parts, *call, now))
+    if (estimate_of(*call) > MaxAcceptableLatency(*call, now))
       continue;
     const SlotRank rank = RankOf(parts, service, *call);
     // Of two calls with the same rank, the one held longer comes first in the list.
@@ -191,7 +191,7 @@
   ServiceState& service = parts.ServiceOf(call);
   if (parts.accounts.Empty() || service.held_calls.empty() || call.attempts > 0)
     return false;
-  const TimePoint hold_until = call.arrived_at + MaxProbeWait(parts, call);
+  const TimePoint hold_until = call.arrived_at + MaxProbeWait(call);
   if (now + kReprobeDelay > hold_until)
     return false;
   const float latency = estimate / AversionFactor(parts.At(endpoint));
--- a/libs/core/src/held_calls.h
+++ b/libs/core/src/held_calls.h
@@ -20,7 +20,7 @@
 constexpr size_t kMaxHeldCalls = 256;
 
 /** Returns the maximum wait of the call for probe answers, and the maximum age at which it probes again. */
-Duration MaxProbeWait(StateParts& parts, const CallState& call);
+Duration MaxProbeWait(const CallState& call);
 
 /**
  * Holds the call until it may probe again, or, while the probe budget is low, until an answer shows a free slot.
--- a/libs/core/src/latency_estimate.cc
+++ b/libs/core/src/latency_estimate.cc
@@ -38,7 +38,7 @@
 }  // namespace
 
 float ExpectedLatency(StateParts& parts, const CallState& call) {
-  const float latency = parts.ServiceOf(call).LatencyFor(parts.At(call.plan).config.work);
+  const float latency = parts.ServiceOf(call).LatencyFor(call.terms.work);
   return latency > 0 ? latency : kInitialLatencyUs;
 }
 
--- a/libs/core/src/load_probing.cc
+++ b/libs/core/src/load_probing.cc
@@ -103,7 +103,7 @@
   const auto preferred_wait = std::chrono::duration_cast<Duration>(std::max(usual_round_trips, worth_waiting));
   Duration wait = parts.load_probe_rtt_us > 0 ? std::clamp<Duration>(preferred_wait, kMinProbeWait, kMaxProbeWait)
                                               : Duration(kMaxProbeWait);
-  wait = std::min(wait, MaxProbeWait(parts, call));
+  wait = std::min(wait, MaxProbeWait(call));
   call.decide_at = std::min(call.deadline, now + wait);
   effects.push_back(Effect::ArmProbeWaitTimer{call.ticket, call.decide_at});
 }
--- a/libs/core/src/selection.cc
+++ b/libs/core/src/selection.cc
@@ -216,7 +216,7 @@
 
 float Selector::LatencyRatio(EndpointHandle endpoint) const {
   const EndpointState& state = m_parts.At(endpoint);
-  const float mean = m_parts.At(state.service).LatencyFor(m_plan.config.work);
+  const float mean = m_parts.At(state.service).LatencyFor(m_call.terms.work);
   if (mean <= 0.0F)
     return 1.0F;
   float latency = state.latency_us > 0.0F ? state.latency_us : mean;
--- a/libs/core/src/slot_admission.cc
+++ b/libs/core/src/slot_admission.cc
@@ -41,9 +41,9 @@
   return FullShareAt(service, now) > kScarceFullShare;
 }
 
-float MaxAcceptableLatency(StateParts& parts, const CallState& call, TimePoint now) {
+float MaxAcceptableLatency(const CallState& call, TimePoint now) {
   const float left = FloatMicros(call.deadline - now).count();
-  const float objective = FloatMicros(parts.At(call.plan).config.objective_latency).count();
+  const float objective = FloatMicros(call.terms.objective_latency).count();
   // The objective counts from the caller's first try. A caller that comes back after a rejection has missed it, and a
   // slot given to it would make another caller miss it too.
   const float elapsed = FloatMicros(now - call.arrived_at + call.spent_before).count();
@@ -54,7 +54,7 @@
   // An endpoint that fails often is a bad choice, but its answers take no longer.
   const float latency = estimate / AversionFactor(parts.At(endpoint));
   const bool scarce = ProbedUtilization(call, endpoint) > kAllSlots || AreSlotsScarce(parts.ServiceOf(call), now);
-  return scarce && latency > MaxAcceptableLatency(parts, call, now);
+  return scarce && latency > MaxAcceptableLatency(call, now);
 }
 
 }  // namespace sassafras
--- a/libs/core/src/slot_admission.h
+++ b/libs/core/src/slot_admission.h
@@ -16,7 +16,7 @@
 bool AreSlotsScarce(const ServiceState& service, TimePoint now);
 
 /** Returns the longest estimate, in microseconds, at which the call may still take a slot of a full endpoint. */
-float MaxAcceptableLatency(StateParts& parts, const CallState& call, TimePoint now);
+float MaxAcceptableLatency(const CallState& call, TimePoint now);
 
 /**
  * Whether the call should be rejected rather than sent to the endpoint, because it would end too late there and its
--- a/libs/core/tests/platform_fleet_simulation_effects.cc
+++ b/libs/core/tests/platform_fleet_simulation_effects.cc
@@ -35,7 +35,8 @@
   }
   for (const bool repeat_safe : {true, false}) {
     Plan plan;
-    plan.name = repeat_safe ? "safe" : "never";
+    // The plans swap their names with each generation, as if routes were split and another part kept the name.
+    plan.name = repeat_safe == (generation % 2 == 0) ? "first" : "second";
     plan.method = repeat_safe ? "GET" : "POST";
     plan.path_prefix = "/";
     plan.repeat = repeat_safe ? Repeat::kSafe : Repeat::kNever;
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -17,8 +17,10 @@
 
 # name, file, text to replace, replacement, text that the output of the failed test must contain
 MUTANTS = [
-    ("retry_after_break", CORE_SOURCES + "attempts.cc", "plan.config.repeat == Repeat::kSafe || !call.may_have_run",
-     "true", "ran 2 times"),
+    ("retry_after_break", CORE_SOURCES + "attempts.cc", "MayRepeat(parts, call) || !call.may_have_run", "true",
+     "ran 2 times"),
+    ("repeat_by_current_plan", CORE_SOURCES + "dispatch.cc", "call.terms.repeat == Repeat::kSafe && ", "",
+     "fixture.End(attempt, lost).empty()"),
     ("timeout_is_not_run", CORE_SOURCES + "outcome.cc", '{"deadline_while_running", Outcome::kUnknown',
      '{"deadline_while_running", Outcome::kNotRun', "was told 'not run'"),
     ("forget_unknown_record", CORE_SOURCES + "call_end.cc", "if (InfoOf(reason).outcome == Outcome::kNotRun)\n    parts.records",
