--- a/libs/entry/src/attempt.cc
+++ b/libs/entry/src/attempt.cc
@@ -8,6 +8,7 @@
 #include "core/state.h"
 #include "engine.h"
 #include "entry/http_dialect.h"
+#include "forwarded_fields.h"
 #include "net/http_client.h"
 #include "net/http_status.h"
 #include "net/response_head.h"
@@ -158,9 +159,10 @@
   head.erase(http::field::expect);
   m_exchange.SetAccount(head);
   m_dialect.SetAttemptHeaders(head, m_target.name, m_target.address, TimeLeft(m_target.deadline, m_engine.Now()));
+  auto forwarded = MakeForwardedHead(std::move(head), m_exchange.Request().GetLongFields());
   if (!m_exchange.BodyComplete())
-    co_return co_await SendStreamedBody(http::request<http::buffer_body>(std::move(head)));
-  http::request<http::span_body<const char>> request(std::move(head));
+    co_return co_await SendStreamedBody(http::request<http::buffer_body, ForwardedFields>(std::move(forwarded)));
+  http::request<http::span_body<const char>, ForwardedFields> request(std::move(forwarded));
   request.body() = {m_exchange.Body().data(), m_exchange.Body().size()};
   // The body is complete, so its length is known even if the caller used chunked encoding.
   request.chunked(false);
@@ -171,10 +173,10 @@
   co_return error;
 }
 
-asio::awaitable<error_code> Attempt::SendStreamedBody(http::request<http::buffer_body> request) {
-  http::request_serializer<http::buffer_body> serializer(request);
+asio::awaitable<error_code> Attempt::SendStreamedBody(http::request<http::buffer_body, ForwardedFields> request) {
+  http::request_serializer<http::buffer_body, ForwardedFields> serializer(request);
   std::string relay_buffer = std::move(m_exchange.Body());
-  CallExchange::Parser& parser = m_exchange.Request();
+  RequestParser& parser = m_exchange.Request();
   error_code error;
   while (true) {
     request.body().data = relay_buffer.empty() ? nullptr : relay_buffer.data();
--- a/libs/entry/src/attempt.h
+++ b/libs/entry/src/attempt.h
@@ -13,6 +13,7 @@
 
 class CallExchange;
 class Engine;
+class ForwardedFields;
 class HttpDialect;
 enum class ResponseKind : uint8_t;
 class UpstreamPool;
@@ -34,7 +35,7 @@
   asio::awaitable<bool> Connect();
   bool MaySend();
   asio::awaitable<error_code> SendRequest();
-  asio::awaitable<error_code> SendStreamedBody(http::request<http::buffer_body> request);
+  asio::awaitable<error_code> SendStreamedBody(http::request<http::buffer_body, ForwardedFields> request);
   /** Reads response heads until one is not that of an interim response. */
   asio::awaitable<error_code> ReadFinalResponseHead();
   /** Reads response heads until one matches this request; responses to earlier requests may precede it. */
--- a/libs/entry/src/call_exchange.cc
+++ b/libs/entry/src/call_exchange.cc
@@ -21,7 +21,7 @@
                            const HttpDialect& dialect,
                            std::chrono::milliseconds connect_timeout,
                            std::shared_ptr<CallerStream> caller,
-                           std::unique_ptr<Parser> request)
+                           std::unique_ptr<RequestParser> request)
     : m_engine(engine),
       m_pool(pool),
       m_dialect(dialect),
@@ -30,10 +30,7 @@
       m_request(std::move(request)),
       m_completion_timer(m_caller->stream.get_executor(), TimePoint::max()),
       m_hedge_timer(m_caller->stream.get_executor()),
-      m_probe_wait_timer(m_caller->stream.get_executor()) {
-  if (m_request->is_header_done() && m_request->chunked())
-    m_received_head = m_request->get();
-}
+      m_probe_wait_timer(m_caller->stream.get_executor()) {}
 
 CallExchange::~CallExchange() {
   if (m_ticket != 0)
--- a/libs/entry/src/call_exchange.h
+++ b/libs/entry/src/call_exchange.h
@@ -2,7 +2,6 @@
 
 #include <cstdint>
 #include <memory>
-#include <optional>
 #include <string>
 #include <vector>
 
@@ -13,6 +12,7 @@
 #include "core/idempotency.h"
 #include "core/recorded_answer.h"
 #include "http_types.h"
+#include "request_parser.h"
 
 namespace sassafras {
 
@@ -24,8 +24,6 @@
 /** Handles one caller request: runs its attempts at endpoints and delivers at most one response. */
 class CallExchange final : public CallSink, public std::enable_shared_from_this<CallExchange> {
  public:
-  using Parser = http::request_parser<http::buffer_body>;
-
   /** How the call ended; tells the session what to do with the caller's connection. */
   enum class Completion : uint8_t {
     kPending,
@@ -46,17 +44,14 @@
                const HttpDialect& dialect,
                std::chrono::milliseconds connect_timeout,
                std::shared_ptr<CallerStream> caller,
-               std::unique_ptr<Parser> request);
+               std::unique_ptr<RequestParser> request);
   ~CallExchange() override;
 
   /** Request body read so far; the complete body if BodyComplete(). */
   std::string& Body() { return m_body; }
   bool BodyComplete() const { return m_request->is_done(); }
-  Parser& Request() { return *m_request; }
-  /** The head of the request as it was received: without fields of a trailer, which the parser adds to its own. */
-  const http::request_header<>& Head() const {
-    return m_received_head.has_value() ? *m_received_head : m_request->get();
-  }
+  RequestParser& Request() { return *m_request; }
+  const http::request_header<>& Head() const { return m_request->get(); }
   CallerStream& Caller() { return *m_caller; }
   bool KeepAlive() const { return m_keep_alive; }
   void SetKeepAlive(bool keep_alive) { m_keep_alive = keep_alive; }
@@ -122,9 +117,7 @@
   const HttpDialect& m_dialect;
   std::chrono::milliseconds m_connect_timeout;
   std::shared_ptr<CallerStream> m_caller;
-  std::unique_ptr<Parser> m_request;
-  /** Copy of the head of a request in chunks, which may have a trailer. */
-  std::optional<http::request_header<>> m_received_head;
+  std::unique_ptr<RequestParser> m_request;
   std::string m_body;
   bool m_keep_alive = true;
   bool m_repeat_safe = false;
--- a/libs/entry/src/caller_session.cc
+++ b/libs/entry/src/caller_session.cc
@@ -15,6 +15,7 @@
 #include "entry/http_dialect.h"
 #include "lists/caller_limits.h"
 #include "lists/plan.h"
+#include "long_fields.h"
 #include "read_deadline.h"
 #include "request_parsing.h"
 #include "session_limits.h"
@@ -41,6 +42,7 @@
 constexpr std::chrono::milliseconds kDefaultRetryAfter{1'000};
 constexpr uint16_t kRequestTimeout = 408;
 constexpr uint16_t kContentTooLarge = 413;
+constexpr uint16_t kUriTooLong = 414;
 constexpr uint16_t kRequestHeaderFieldsTooLarge = 431;
 
 std::string_view ToStringView(beast::string_view text) {
@@ -71,6 +73,17 @@
   return host.substr(0, host.rfind(':'));
 }
 
+/** Sends the caller on to the owner of its key. */
+void SetLocation(Rejection& rejection, std::string_view owner_address, std::string_view target) {
+  std::string location = fmt::format("http://{}{}", owner_address, target);
+  if (location.size() <= kMaxStoredValueBytes) {
+    rejection.location = std::move(location);
+    return;
+  }
+  rejection.status = kUriTooLong;
+  rejection.remedy = fmt::format("send the request to {} yourself, or shorten its target", owner_address);
+}
+
 std::string RejectionBody(Reason reason, std::string_view custom_remedy) {
   const ReasonInfo& info = InfoOf(reason);
   const std::string remedy(custom_remedy.empty() ? info.remedy : custom_remedy);
@@ -152,7 +165,7 @@
 
 asio::awaitable<bool> CallerSession::ServeRequest() {
   const CallerLimits& limits = m_engine.GetState().Limits();
-  auto parser = std::make_unique<Parser>();
+  auto parser = std::make_unique<RequestParser>();
   parser->header_limit(limits.header_bytes);
   if (limits.body_bytes > 0)
     parser->body_limit(limits.body_bytes);
@@ -163,7 +176,11 @@
       co_await RejectUnread(*parser, ReadRejection("head", error));
     co_return false;
   }
-  UseOriginForm(parser->get());
+  if (!UseOriginForm(parser->get())) {
+    Rejection rejection{.status = kUriTooLong, .remedy = "shorten the host in the request target"};
+    co_await RejectUnread(*parser, std::move(rejection));
+    co_return false;
+  }
   const auto& head = parser->get();
   // Where such a body ends cannot be known, so its bytes could be taken for requests of their own.
   if (head.find(http::field::transfer_encoding) != head.end() && !parser->chunked()) {
@@ -187,21 +204,21 @@
   co_return co_await ServeCall(std::move(parser));
 }
 
-asio::awaitable<error_code> CallerSession::ReadRequestHead(Parser& parser) {
+asio::awaitable<error_code> CallerSession::ReadRequestHead(RequestParser& parser) {
   const ReadDeadline deadline(*m_caller, m_engine.GetState().Limits().header_timeout);
   error_code error;
   co_await http::async_read_header(m_caller->stream, m_caller->buffer, parser, AwaitWithError(error));
   co_return deadline.Resolve(error);
 }
 
-asio::awaitable<bool> CallerSession::ServePage(Parser& parser) {
+asio::awaitable<bool> CallerSession::ServePage(RequestParser& parser) {
   const Page page = m_pages.Render(ToStringView(parser.get().target()));
   const bool keep_alive = parser.is_done() && parser.get().keep_alive() && !m_closing;
   co_return co_await WriteTextResponse(page.status, page.content_type, page.body, keep_alive);
 }
 
 asio::awaitable<error_code> CallerSession::BufferRequestBody(CallExchange& exchange, TimePoint call_deadline) {
-  Parser& parser = exchange.Request();
+  RequestParser& parser = exchange.Request();
   std::string& body = exchange.Body();
   error_code error;
   if (parser.get()[http::field::expect] == "100-continue" && !parser.is_done()) {
@@ -239,7 +256,7 @@
   return m_closing || phase == Phase::kLeaving || phase == Phase::kClosing;
 }
 
-asio::awaitable<bool> CallerSession::ServeCall(std::unique_ptr<Parser> parser) {
+asio::awaitable<bool> CallerSession::ServeCall(std::unique_ptr<RequestParser> parser) {
   const bool keep_alive = parser->get().keep_alive() && !IsLeaving();
   const std::string method(ToStringView(parser->get().method_string()));
   const std::string target(ToStringView(parser->get().target()));
@@ -286,8 +303,7 @@
       const Effect::Reject& reject = exchange.Rejection();
       Rejection rejection{.reason = reject.reason, .retry_after = reject.retry_after};
       if (reject.reason == Reason::kRedirectToOwner)
-        rejection.location =
-            fmt::format("http://{}{}", reject.owner_address, ToStringView(exchange.Request().get().target()));
+        SetLocation(rejection, reject.owner_address, ToStringView(exchange.Request().get().target()));
       co_return co_await WriteRejection(exchange.Request(), std::move(rejection), keep_alive);
     }
     case CallExchange::Completion::kRecorded:
@@ -342,20 +358,18 @@
   return rejection.status > 0 ? rejection.status : m_dialect.HttpStatusFor(rejection.reason);
 }
 
-asio::awaitable<bool> CallerSession::RejectRequest(const CallExchange::Parser& request,
-                                                   Rejection rejection,
-                                                   bool keep_alive) {
+asio::awaitable<bool> CallerSession::RejectRequest(const RequestParser& request, Rejection rejection, bool keep_alive) {
   LogRejectedRequest(m_dialect.RequestId(request.get()), m_engine.GetState(), rejection, StatusOf(rejection),
                      m_engine.Now());
   co_return co_await WriteRejection(request, std::move(rejection), keep_alive);
 }
 
-asio::awaitable<void> CallerSession::RejectUnread(const CallExchange::Parser& request, Rejection rejection) {
+asio::awaitable<void> CallerSession::RejectUnread(const RequestParser& request, Rejection rejection) {
   m_request_unread = true;
   co_await RejectRequest(request, std::move(rejection), false);
 }
 
-asio::awaitable<bool> CallerSession::WriteRejection(const CallExchange::Parser& request,
+asio::awaitable<bool> CallerSession::WriteRejection(const RequestParser& request,
                                                     Rejection rejection,
                                                     bool keep_alive) {
   const uint16_t status = StatusOf(rejection);
--- a/libs/entry/src/caller_session.h
+++ b/libs/entry/src/caller_session.h
@@ -34,20 +34,18 @@
   void Close();
 
  private:
-  using Parser = CallExchange::Parser;
-
   asio::awaitable<bool> WaitForRequest();
   /** Reads bytes that have already arrived, without waiting; returns whether there were any. */
   bool ReadAvailable();
   asio::awaitable<bool> ServeRequest();
   /** Whether the instance stops and closes its connections soon, so that callers are told not to reuse them. */
   bool IsLeaving() const;
-  asio::awaitable<bool> ServeCall(std::unique_ptr<Parser> parser);
-  asio::awaitable<bool> ServePage(Parser& parser);
+  asio::awaitable<bool> ServeCall(std::unique_ptr<RequestParser> parser);
+  asio::awaitable<bool> ServePage(RequestParser& parser);
   asio::awaitable<bool> FinishCall(CallExchange& exchange, CallExchange::Completion completion);
   /** Reads the body up to the size that is buffered; returns the error that ended it early, if any. */
   asio::awaitable<error_code> BufferRequestBody(CallExchange& exchange, TimePoint call_deadline);
-  asio::awaitable<error_code> ReadRequestHead(Parser& parser);
+  asio::awaitable<error_code> ReadRequestHead(RequestParser& parser);
   /** Longest time that the request may take by the plan that covers it. */
   Duration PlanDeadline(const http::fields& fields, std::string_view method, std::string_view target) const;
   /** Reads and drops what still arrives of a request, until the caller closes or a short time has passed. */
@@ -56,10 +54,10 @@
   /** HTTP status code of the response for `rejection`. */
   uint16_t StatusOf(const Rejection& rejection) const;
   /** Logs and rejects a request that has not become a call. */
-  asio::awaitable<bool> RejectRequest(const CallExchange::Parser& request, Rejection rejection, bool keep_alive);
+  asio::awaitable<bool> RejectRequest(const RequestParser& request, Rejection rejection, bool keep_alive);
   /** Like RejectRequest(), for a request that was not read to its end: the connection is closed after the response. */
-  asio::awaitable<void> RejectUnread(const CallExchange::Parser& request, Rejection rejection);
-  asio::awaitable<bool> WriteRejection(const CallExchange::Parser& request, Rejection rejection, bool keep_alive);
+  asio::awaitable<void> RejectUnread(const RequestParser& request, Rejection rejection);
+  asio::awaitable<bool> WriteRejection(const RequestParser& request, Rejection rejection, bool keep_alive);
   asio::awaitable<bool> WriteRecorded(const RecordedAnswer& recorded, bool head_request, bool keep_alive);
   void WatchForDisconnect(const std::shared_ptr<CallExchange>& exchange);
 
--- a/libs/entry/src/request_parsing.cc
+++ b/libs/entry/src/request_parsing.cc
@@ -9,6 +9,7 @@
 #include "base/error.h"
 #include "base/hash.h"
 #include "base/parse_number.h"
+#include "long_fields.h"
 
 namespace sassafras {
 namespace {
@@ -37,16 +38,20 @@
 
 }  // namespace
 
-void UseOriginForm(http::request_header<>& head) {
+bool UseOriginForm(http::request_header<>& head) {
   constexpr std::string_view kScheme = "http://";
   const std::string target(head.target());
   if (!boost::beast::iequals({target.data(), std::min(target.size(), kScheme.size())},
                              {kScheme.data(), kScheme.size()}))
-    return;
+    return true;
   const size_t authority_end = std::min(target.find_first_of("/?", kScheme.size()), target.size());
   const std::string rest = target.substr(authority_end);
-  head.set(http::field::host, target.substr(kScheme.size(), authority_end - kScheme.size()));
+  const std::string authority = target.substr(kScheme.size(), authority_end - kScheme.size());
+  if (authority.size() > kMaxStoredValueBytes)
+    return false;
+  head.set(http::field::host, authority);
   head.target(rest.starts_with('/') ? rest : "/" + rest);
+  return true;
 }
 
 std::string_view PathOf(std::string_view target) {
--- a/libs/entry/src/request_parsing.h
+++ b/libs/entry/src/request_parsing.h
@@ -19,8 +19,9 @@
 /**
  * Turns the target of a request in absolute form, "http://host/path", into the path alone; the host replaces that of
  * the Host header.
+ * @return false if the host is too long for that header; the head is unchanged then
  */
-void UseOriginForm(http::request_header<>& head);
+bool UseOriginForm(http::request_header<>& head);
 
 /** Returns the path of a request target, without its query. */
 std::string_view PathOf(std::string_view target);
--- a/libs/entry/tests/attempt_test.cc
+++ b/libs/entry/tests/attempt_test.cc
@@ -96,7 +96,7 @@
       change.revision = 2;
       engine.Post(Event::EndpointsReceived{clock.Now(), 3, true, {change}});
     }
-    auto request = std::make_unique<CallExchange::Parser>();
+    auto request = std::make_unique<RequestParser>();
     error_code error;
     request->put(asio::buffer(std::string("GET /x HTTP/1.1\r\nHost: h\r\n\r\n")), error);
     exchange = std::make_shared<CallExchange>(engine, pool, dialect, std::chrono::milliseconds(200),
--- a/libs/entry/tests/call_exchange_test.cc
+++ b/libs/entry/tests/call_exchange_test.cc
@@ -27,7 +27,7 @@
                                                 dialect,
                                                 std::chrono::milliseconds(100),
                                                 std::make_shared<CallerStream>(asio::ip::tcp::socket(context)),
-                                                std::make_unique<CallExchange::Parser>())),
+                                                std::make_unique<RequestParser>())),
         first(*exchange, engine, pool, dialect, AttemptTarget()),
         second(*exchange, engine, pool, dialect, AttemptTarget()) {}
 
--- a/libs/entry/tests/call_fixture.h
+++ b/libs/entry/tests/call_fixture.h
@@ -73,8 +73,12 @@
   }
 
   /** Gives the entry instance its lists: one plan for all requests, or with accounts a public one for "/open/" too. */
-  void Serve(Repeat repeat, std::chrono::milliseconds deadline, std::vector<Account> accounts = {}) {
+  void Serve(Repeat repeat,
+             std::chrono::milliseconds deadline,
+             std::vector<Account> accounts = {},
+             uint32_t header_bytes = CallerLimits().header_bytes) {
     Lists lists;
+    lists.limits.header_bytes = header_bytes;
     Service service;
     service.name = "s";
     service.probe_path = "/probe";
--- a/libs/entry/tests/scripted_endpoint.h
+++ b/libs/entry/tests/scripted_endpoint.h
@@ -8,6 +8,7 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
 
 #include "http_types.h"
@@ -28,6 +29,13 @@
 
   /** From now on, plays the script once the head of a request is read, and reads the body after it. */
   void AnswerAfterHead() { m_answers_after_head = true; }
+  /**
+   * From now on, reads heads of any length without parsing them and plays the script for an empty request. A body that
+   * follows is not told from the next head.
+   */
+  void ReadHeadsAsBytes() { m_reads_bytes = true; }
+  /** The last head read as bytes. */
+  const std::string& HeadBytes() const { return m_head_bytes; }
 
   std::string Address() const { return "127.0.0.1:" + std::to_string(m_acceptor.local_endpoint().port()); }
   size_t RequestCount() const { return m_requests; }
@@ -53,6 +61,8 @@
     error_code error;
     socket.set_option(asio::ip::tcp::no_delay(true), error);
     bool open = true;
+    while (open && m_reads_bytes)
+      open = co_await ServeBytes(socket);
     while (open) {
       http::request_parser<http::string_body> parser;
       parser.body_limit(boost::none);
@@ -69,9 +79,25 @@
     --m_open_connections;
   }
 
+  /** Reads the next head as bytes and plays the script; returns whether the connection stays open. */
+  asio::awaitable<bool> ServeBytes(asio::ip::tcp::socket& socket) {
+    error_code error;
+    std::string bytes;
+    const size_t size =
+        co_await asio::async_read_until(socket, asio::dynamic_buffer(bytes), "\r\n\r\n", AwaitWithError(error));
+    if (error)
+      co_return false;
+    ++m_requests;
+    m_head_bytes = bytes.substr(0, size);
+    const Request no_request;
+    co_return co_await m_script(socket, no_request);
+  }
+
   asio::ip::tcp::acceptor m_acceptor;
   Script m_script;
   bool m_answers_after_head = false;
+  bool m_reads_bytes = false;
+  std::string m_head_bytes;
   size_t m_requests = 0;
   size_t m_connections = 0;
   size_t m_open_connections = 0;
