--- a/libs/core/tests/changed_plan_test.cc
+++ b/libs/core/tests/changed_plan_test.cc
@@ -11,7 +11,6 @@
 
 using Millis = SingleInstance::Millis;
 using Dispatch = Effect::Dispatch;
-using SendProbe = Effect::SendProbe;
 
 /**
  * One instance whose plan "p" is replaced by another one of the same name while its calls run, as when an operator
@@ -39,7 +38,7 @@
   /** Starts a call and returns its first attempt. */
   Dispatch Start() {
     m_instance.HandleEvent(Event::Tick{m_instance.Now()});
-    const std::vector<Dispatch> dispatches = AnswerProbes(m_instance.ReceiveCall());
+    const std::vector<Dispatch> dispatches = m_instance.AnswerProbes(m_instance.ReceiveCall());
     REQUIRE(dispatches.size() == 1);
     return dispatches[0];
   }
@@ -54,23 +53,13 @@
     ended.result = result;
     const Effects effects = m_instance.HandleEvent(ended);
     m_rejections = SingleInstance::EffectsOfType<Effect::Reject>(effects);
-    return AnswerProbes(effects);
+    return m_instance.AnswerProbes(effects);
   }
 
   /** Rejections that the end of the last attempt led to. */
   const std::vector<Effect::Reject>& Rejections() const { return m_rejections; }
 
  private:
-  /** Answers the load probes among the effects, and those that follow; returns the attempts. */
-  std::vector<Dispatch> AnswerProbes(const Effects& effects) {
-    std::vector<Dispatch> dispatches = SingleInstance::EffectsOfType<Dispatch>(effects);
-    for (const SendProbe& probe : SingleInstance::EffectsOfType<SendProbe>(effects)) {
-      const auto more = AnswerProbes(m_instance.AnswerProbe(probe, 0, 1.0F));
-      dispatches.insert(dispatches.end(), more.begin(), more.end());
-    }
-    return dispatches;
-  }
-
   SingleInstance m_instance;
   uint64_t m_generation = 0;
   std::vector<Effect::Reject> m_rejections;
--- a/libs/core/tests/hedging_test.cc
+++ b/libs/core/tests/hedging_test.cc
@@ -57,21 +57,11 @@
     m_instance.ReceiveEndpoints(changes, true, 5'000);
   }
 
-  /** Answers the load probes among the effects, and those that follow; returns the dispatches. */
-  std::vector<Dispatch> AnswerProbes(const Effects& effects, uint32_t in_flight = 0) {
-    std::vector<Dispatch> dispatches = SingleInstance::EffectsOfType<Dispatch>(effects);
-    for (const SendProbe& probe : SingleInstance::EffectsOfType<SendProbe>(effects)) {
-      const auto more = AnswerProbes(m_instance.AnswerProbe(probe, in_flight, 1.0F), in_flight);
-      dispatches.insert(dispatches.end(), more.begin(), more.end());
-    }
-    return dispatches;
-  }
-
   /** Starts a call at an endpoint. */
   RunningCall Start(std::optional<uint64_t> fingerprint = std::nullopt, Duration limit = Millis(2'000)) {
     // Without ticks, the instance would take the time that passed for a pause of its process.
     m_instance.HandleEvent(Event::Tick{m_instance.Now()});
-    const auto dispatches = AnswerProbes(m_instance.ReceiveCall(limit, fingerprint));
+    const auto dispatches = m_instance.AnswerProbes(m_instance.ReceiveCall(limit, fingerprint));
     REQUIRE(dispatches.size() == 1);
     return {dispatches[0].call, dispatches[0].endpoint, dispatches[0].hedge_at};
   }
@@ -105,7 +95,7 @@
     const Effects effects = HedgeDue(running);
     for (const auto& record : SingleInstance::EffectsOfType<Effect::WriteLogRecord>(effects))
       m_refusal_records += record.record.kind == LogRecord::Kind::kHedgesRefused ? 1 : 0;
-    const auto hedges = AnswerProbes(effects);
+    const auto hedges = m_instance.AnswerProbes(effects);
     if (hedges.empty()) {
       m_instance.Advance(first_end - m_instance.Now());
       End(running.call, running.endpoint, AttemptResult::kAnswered);
@@ -280,7 +270,7 @@
   for (int i = 0; i < 30; ++i) {
     const RunningCall running = fixture.Start();
     fixture.Instance().Advance(running.hedge_at - fixture.Instance().Now());
-    fixture.AnswerProbes(fixture.HedgeDue(running));
+    fixture.Instance().AnswerProbes(fixture.HedgeDue(running));
   }
   CHECK(fixture.Counters().sent <= sent_before + 9);
   CHECK(fixture.Counters().held_back >= 20);
@@ -294,8 +284,8 @@
   const RunningCall running = fixture.Start();
   fixture.Instance().Advance(running.hedge_at - fixture.Instance().Now());
   for (int i = 0; i < 10; ++i)
-    fixture.AnswerProbes(fixture.Instance().ReceiveCall(), 6);
-  CHECK(fixture.AnswerProbes(fixture.HedgeDue(running)).empty());
+    fixture.Instance().AnswerProbes(fixture.Instance().ReceiveCall(), 6);
+  CHECK(fixture.Instance().AnswerProbes(fixture.HedgeDue(running)).empty());
   CHECK(fixture.Counters().held_back == 1);
 }
 
@@ -306,12 +296,12 @@
   fixture.RunUsual(100);
   const RunningCall busy = fixture.Start();
   fixture.Instance().Advance(busy.hedge_at - fixture.Instance().Now());
-  CHECK(fixture.AnswerProbes(fixture.HedgeDue(busy), 4).empty());
+  CHECK(fixture.Instance().AnswerProbes(fixture.HedgeDue(busy), 4).empty());
   CHECK(fixture.Counters().held_back == 1);
   fixture.End(busy.call, busy.endpoint, AttemptResult::kAnswered);
   const RunningCall idle = fixture.Start();
   fixture.Instance().Advance(idle.hedge_at - fixture.Instance().Now());
-  CHECK(fixture.AnswerProbes(fixture.HedgeDue(idle), 1).size() == 1);
+  CHECK(fixture.Instance().AnswerProbes(fixture.HedgeDue(idle), 1).size() == 1);
 }
 
 // Guards against a limit of 0 that still allows the hedges of the slack.
@@ -487,7 +477,7 @@
     const RunningCall running = fixture.Start();
     CHECK(running.hedge_at == TimePoint::max());
     fixture.Instance().Advance(Millis(i % 5 == 0 ? 300 : 30));
-    CHECK(fixture.AnswerProbes(fixture.HedgeDue(running)).empty());
+    CHECK(fixture.Instance().AnswerProbes(fixture.HedgeDue(running)).empty());
     fixture.End(running.call, running.endpoint, AttemptResult::kAnswered);
   }
   CHECK(fixture.Counters().sent == 0);
@@ -504,7 +494,7 @@
   const RunningCall crashing = fixture.Start(kFingerprint);
   fixture.End(crashing.call, crashing.endpoint, AttemptResult::kBroken);
   fixture.Instance().Advance(earlier.hedge_at - fixture.Instance().Now());
-  CHECK(fixture.AnswerProbes(fixture.HedgeDue(earlier)).empty());
+  CHECK(fixture.Instance().AnswerProbes(fixture.HedgeDue(earlier)).empty());
   CHECK(fixture.Start(kFingerprint).hedge_at == TimePoint::max());
 }
 
@@ -524,14 +514,14 @@
   }
   REQUIRE(calls.size() == 3);
   fixture.Instance().Advance(calls.back().hedge_at - fixture.Instance().Now());
-  const auto first = fixture.AnswerProbes(fixture.HedgeDue(calls[0]));
+  const auto first = fixture.Instance().AnswerProbes(fixture.HedgeDue(calls[0]));
   REQUIRE(first.size() == 1);
   CHECK(fixture.Instance().EndpointName(first[0].endpoint).starts_with("near"));
   for (size_t i = 1; i < calls.size(); ++i) {
     const Effects effects = fixture.HedgeDue(calls[i]);
     for (const SendProbe& probe : SingleInstance::EffectsOfType<SendProbe>(effects))
       CHECK(fixture.Instance().EndpointName(probe.endpoint).starts_with("far"));
-    const auto hedges = fixture.AnswerProbes(effects);
+    const auto hedges = fixture.Instance().AnswerProbes(effects);
     REQUIRE(hedges.size() == 1);
     CHECK(fixture.Instance().EndpointName(hedges[0].endpoint).starts_with("far"));
   }
--- a/libs/core/tests/single_instance.h
+++ b/libs/core/tests/single_instance.h
@@ -111,6 +111,16 @@
     return HandleEvent(event);
   }
 
+  /** Answers the load probes among the effects, and those that follow; returns the dispatches. */
+  std::vector<Effect::Dispatch> AnswerProbes(const Effects& effects, uint32_t in_flight = 0) {
+    std::vector<Effect::Dispatch> dispatches = EffectsOfType<Effect::Dispatch>(effects);
+    for (const Effect::SendProbe& probe : EffectsOfType<Effect::SendProbe>(effects)) {
+      const auto more = AnswerProbes(AnswerProbe(probe, in_flight, 1.0F), in_flight);
+      dispatches.insert(dispatches.end(), more.begin(), more.end());
+    }
+    return dispatches;
+  }
+
   template <typename T>
   static std::vector<T> EffectsOfType(const Effects& effects) {
     std::vector<T> matching;
