--- a/libs/entry/src/call_exchange.h
+++ b/libs/entry/src/call_exchange.h
@@ -51,6 +51,7 @@
   std::string& Body() { return m_body; }
   bool BodyComplete() const { return m_request->is_done(); }
   RequestParser& Request() { return *m_request; }
+  /** The head of the request as it was received; of the values of long fields, only a part (see RequestParser). */
   const http::request_header<>& Head() const { return m_request->get(); }
   CallerStream& Caller() { return *m_caller; }
   bool KeepAlive() const { return m_keep_alive; }
