--- a/libs/entry/src/request_parser.cc
+++ b/libs/entry/src/request_parser.cc
@@ -19,6 +19,12 @@
   return part + '~';
 }
 
+/** Whether the end of the message, or what is removed from the head, depends on the whole value of the field. */
+bool MustBeReadInFull(http::field name) {
+  return name == http::field::connection || name == http::field::transfer_encoding ||
+         name == http::field::content_length;
+}
+
 }  // namespace
 
 void RequestParser::on_field_impl(http::field name,
@@ -33,8 +39,7 @@
     get().insert(name, name_text, trimmed);
     return;
   }
-  // What Connection names must be removed, so it must be known in full.
-  if (name == http::field::connection || name_text.size() > kMaxStoredNameBytes) {
+  if (MustBeReadInFull(name) || name_text.size() > kMaxStoredNameBytes) {
     error = http::error::header_limit;
     return;
   }
--- a/libs/entry/tests/long_field_test.cc
+++ b/libs/entry/tests/long_field_test.cc
@@ -2,6 +2,7 @@
 
 #include <chrono>
 #include <string>
+#include <utility>
 
 #include "call_fixture.h"
 #include "entry/native_dialect.h"
@@ -74,11 +75,21 @@
   CHECK_FALSE(fixture.EndpointGot("xxx"));
 }
 
-// Guards against options of a connection that are read only in part, and so against fields that stay in the head.
-TEST_CASE("a long list of connection options is refused, not passed on in part") {
-  Fixture fixture;
-  CHECK(fixture.Send(Line("Connection", std::string(kLong, 'x'))).status == 431);
-  CHECK(fixture.endpoint.RequestCount() == 0);
+// Guards against a head that says two things of where its body ends (UNASKED), and against options of a connection that
+// are read only in part, so that fields stay in the head.
+TEST_CASE("a long field on which the end of the message or the connection depends is refused") {
+  const std::pair<std::string, std::string> fields[] = {
+      {"Connection", std::string(kLong, 'x')},
+      {"Transfer-Encoding", std::string(kLong, 'x') + ", chunked"},
+      {"Content-Length", std::string(kLong, '0') + "4"},
+  };
+  for (const auto& [name, value] : fields) {
+    CAPTURE(name);
+    Fixture fixture;
+    const std::string head = "POST /x HTTP/1.1\r\nHost: h\r\nConnection: close\r\n" + Line(name, value) + "\r\n";
+    CHECK(fixture.calls.Send(head + "4\r\nbody\r\n0\r\n\r\n").status == 431);
+    CHECK(fixture.endpoint.RequestCount() == 0);
+  }
 }
 
 TEST_CASE("a field name is passed on or refused, by its length") {
