--- a/review/13/case.py
+++ b/review/13/case.py
@@ -1,65 +1,57 @@
-"""QUOTA: a planned stop of the instance that keeps an allowance gives its tenant a second burst."""
+"""LOST: an instance that got SIGTERM takes requests for so long that it has to cut them when it ends."""
 import asyncio
+import json
 import pathlib
 import signal
 import sys
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1] / "lib-3"))
-from world import main, now
+from world import HOST, main, now, request_once
 
-# Of demands/mlk-dompet-grown.toml.
-BOUNDS = {"graceS": 6, "strictRevoke": True, "revokeS": 5, "retryBudgetRatio": 0.2, "retryBudgetSlack": 222}
-WINDOW_S, OVERAGE, SLACK = 5.0, 0.1, 20
-RATE_PER_S, BURST = 10, 100
-USUAL_PER_S, HOT_FACTOR = 8.0, 7.5
-KEY = "q7fh2mgkw5rcpihvacru"
+# Of large/naelakoda-gw-large.toml.
+BOUNDS = {"graceS": 10, "retryBudgetRatio": 0.2, "retryBudgetSlack": 630}
+GRACE_S = 10.0
+# Requests that are sent no later than this after the SIGTERM are excused if they are still at work near the end.
+EXCUSED_S = 3.0
+TIME_LIMIT_S, TIMEOUT_S, WORK_S = 8.0, 8.0, 6.5
 
 
 async def case(world, trouble):
-    world.route("pay", "/pay/", "dompet-bil", "unsafe", 3.0, 0.8)
-    world.service("dompet-bil", 1220)
+    world.route("order", "/order/", "tellimus", "unsafe", TIMEOUT_S, 2.0)
+    world.service("tellimus", 3600)
     world.limits()
-    world.resources.append({"entryKind": "tenants", "metadata": {"name": "stall"}, "spec": {
-        "apiKeys": [KEY], "priority": 1, "ratePerS": RATE_PER_S, "burst": BURST}})
-    await world.start(["a", "b", "c"])
-    for number in range(6):
-        await world.add_endpoint("dompet-bil", "abc"[number % 3], 3, 6, lambda request: 0.05)
-    await world.start_instances(4.0)
-    leaving, sent_at = [], {}
-
-    async def pay():
-        instance = world.rng.choice([other for other in world.instances if other not in leaving])
-        at = now()
-        request_id, _, _ = await world.send(instance, "POST", "/pay/bill", 3.0, {"Authorization": f"Bearer {KEY}"},
-                                            b"x" * 200)
-        sent_at[request_id] = at
-
-    async def clients(per_s, for_s):
-        start, tasks = now(), []
-        while now() < start + for_s:
-            tasks.append(asyncio.ensure_future(pay()))
-            await asyncio.sleep(max(0.0, start + len(tasks) / per_s - now()))
-        return tasks
-
-    world.record.say(f"the tenant sends {USUAL_PER_S} requests a second; its limit is {RATE_PER_S} a second + {BURST}")
-    # Until the allowance is full: it begins with half of the burst.
-    tasks = await clients(USUAL_PER_S, (BURST / 2 + 8) / (RATE_PER_S - USUAL_PER_S) + 4.0)
-    kept = [await instance.counter("sassafras_quota_shards") for instance in world.instances]
-    keeper = world.instances[kept.index(max(kept))]
-    world.record.say(f"it sends {HOT_FACTOR} times as many; {keeper.name} keeps its allowance")
-    hot = asyncio.ensure_future(clients(USUAL_PER_S * HOT_FACTOR, WINDOW_S + 1.0))
-    await asyncio.sleep(2.3)
+    await world.start(["a", "b"])
+    for number in range(4):
+        await world.add_endpoint("tellimus", "ab"[number % 2], 6, 12, lambda request: WORK_S)
+    await world.start_instances(8.0)
+    instance = world.instances[0]
+    answer = await request_once(instance.listen["directory"], f"GET /-/resolve?name={HOST}&region=r&zone=a HTTP/1.1",
+                                {"Host": HOST}, b"", 1.0)
+    resolved = json.loads(answer.body)
+    if instance.listen["front"] not in resolved["addresses"]:
+        raise RuntimeError("the directory does not name the instance")
+    world.record.say(f"a client asks where to connect and may use the answer for {resolved['ttlS']} s")
+    start = now()
     if trouble:
-        keeper.signal(signal.SIGTERM)
-        leaving.append(keeper)
-        world.record.say(f"{keeper.name} gets SIGTERM")
-    await asyncio.gather(*tasks, *await hot)
-    ran_at = {run.request_id: run.at for run in world.runs if run.tenant == "stall"}
-    inside = [(sent_at[request_id], at) for request_id, at in ran_at.items()]
-    most = max(sum(1 for sent, at in inside if since <= sent and at < since + WINDOW_S) for since, _ in inside)
-    limit = (RATE_PER_S * WINDOW_S + BURST) * (1 + OVERAGE) + SLACK
-    world.record.say(f"in some {WINDOW_S} s, {most} requests were sent and ran; the rule allows {limit:.0f}")
-    return most <= limit
+        instance.signal(signal.SIGTERM)
+        world.record.say(f"{instance.name} gets SIGTERM")
+
+    async def order(after_s):
+        await asyncio.sleep(start + after_s - now())
+        sent_at = now()
+        return sent_at, *await world.send(instance, "POST", "/order/new", TIME_LIMIT_S, body=b"x" * 1200), now()
+
+    results = await asyncio.gather(*(order(after_s) for after_s in (2.0, 3.1, 3.3, 3.5, 3.7, 3.9)))
+    lost = 0
+    for sent_at, request_id, result, _, ended_at in results:
+        runs = [run for run in world.runs if run.request_id == request_id]
+        cut = bool(runs) and result == "closed without an answer" and ended_at < sent_at + min(TIME_LIMIT_S, TIMEOUT_S)
+        counts = cut and start + EXCUSED_S < sent_at and ended_at <= start + GRACE_S + 1.0
+        lost += counts
+        world.record.say(f"request {request_id}, sent {sent_at - start:.2f} s after the start, "
+                         f"{'ran' if runs else 'did not run'}, ended {ended_at - start:.2f} s after it: {result}"
+                         f"{' (LOST)' if counts else ''}")
+    return lost == 0
 
 
 main(case, pathlib.Path(__file__).resolve().parent, BOUNDS)
