Calls: an answer that breaks off is never continued with another attempt's (MIXED)

Cause: only the I/O layer knew that an answer had begun. The reducer sent a hedge whose probes were under way, saw it outstanding when the first attempt broke off and waited for it; the I/O layer had meanwhile given up the claim.

Change: Event::AnswerStarted tells the reducer. From then on there is no hedge, probe or retry, and a break or deadline of the answering attempt ends the call whatever else is outstanding.

--- a/libs/core/include/core/event.h
+++ b/libs/core/include/core/event.h
@@ -151,6 +151,11 @@
     TimePoint now;
     CallHandle call;
   };
+  /** An attempt has begun to answer the caller, so no other attempt may answer the call any more. */
+  struct AnswerStarted {
+    TimePoint now;
+    CallHandle call;
+  };
   struct AttemptEnded {
     TimePoint now;
     CallHandle call;
@@ -224,6 +229,7 @@
                            CallerGone,
                            HedgeDue,
                            ProbeWaitExpired,
+                           AnswerStarted,
                            AttemptEnded,
                            EndpointReported,
                            ProbeEnded,
--- a/libs/core/src/attempts.cc
+++ b/libs/core/src/attempts.cc
@@ -47,7 +47,7 @@
   const bool repeatable = MayRepeat(parts, call) || !call.may_have_run;
   const bool no_answer = result == AttemptResult::kBroken || result == AttemptResult::kMalformed;
   const bool retryable = IsKnownNotRun(result) || no_answer;
-  if (!repeatable || !retryable || !call.replayable)
+  if (!repeatable || !retryable || !call.replayable || call.answer_started)
     return false;
   if (call.attempts >= MaxAttempts(call) || now >= call.deadline)
     return false;
@@ -179,7 +179,13 @@
   }
 }
 
-/** Retries or ends a call whose last outstanding attempt ended without an answer. */
+/** Whether the attempt that had begun to answer the caller ended before its answer was complete. */
+bool IsAnswerBrokenOff(const CallState& call, AttemptResult result) {
+  // The other attempts were cancelled when the answer began.
+  return call.answer_started && result != AttemptResult::kCancelled;
+}
+
+/** Retries or ends a call after an attempt that ended without an answer, when no other one may still answer. */
 void RetryOrReject(StateParts& parts, const Event::AttemptEnded& event, Effects& effects) {
   CallState& call = *parts.calls.Find(event.call);
   if (event.result == AttemptResult::kBrokenInAnswer) {
@@ -208,6 +214,14 @@
   LearnAvailability(parts, event.endpoint, event.load, event.now);
 }
 
+void OnAnswerStarted(StateParts& parts, const Event::AnswerStarted& event) {
+  CallState* call = parts.calls.Find(event.call);
+  if (call == nullptr)
+    return;
+  call->answer_started = true;
+  call->probing_for_hedge = false;
+}
+
 void OnAttemptEnded(StateParts& parts, const Event::AttemptEnded& event, Effects& effects) {
   CallState* call = parts.calls.Find(event.call);
   LearnFromAttempt(parts, event, call);
@@ -222,7 +236,7 @@
       UndoSpendQuota(parts, *call);
     if (event.result == AttemptResult::kAnswered)
       EndAnswered(parts, event.call, event.failure_status, event.answer, event.now, effects);
-    else if (call->attempts_outstanding == 0)
+    else if (call->attempts_outstanding == 0 || IsAnswerBrokenOff(*call, event.result))
       RetryOrReject(parts, event, effects);
   }
   if (!service.IsValid())
--- a/libs/core/src/call_state.h
+++ b/libs/core/src/call_state.h
@@ -35,6 +35,8 @@
   uint8_t hedge_index = 0;
   /** Whether the call was counted for the share of late calls of its service. */
   bool counted_late = false;
+  /** Whether an attempt has begun to answer the caller: the call ends with that attempt. */
+  bool answer_started = false;
   /** Whether an attempt ended that may have run the request. */
   bool may_have_run = false;
   /** The plan that admitted the call, for its statistics and its endpoints. */
--- a/libs/core/src/reducer.cc
+++ b/libs/core/src/reducer.cc
@@ -36,6 +36,7 @@
   void operator()(const Event::StoreReadEnded& event) { OnStoreReadEnded(parts, event, effects); }
   void operator()(const Event::ProbeWaitExpired& event) { OnProbeWaitExpired(parts, event, effects); }
   void operator()(const Event::HedgeDue& event) { OnHedgeDue(parts, event, effects); }
+  void operator()(const Event::AnswerStarted& event) { OnAnswerStarted(parts, event); }
   void operator()(const Event::AttemptEnded& event) { OnAttemptEnded(parts, event, effects); }
   void operator()(const Event::EndpointReported& event) { OnEndpointReported(parts, event); }
   void operator()(const Event::ProbeEnded& event) { OnProbeEnded(parts, event, effects); }
--- a/libs/core/tests/hedging_test.cc
+++ b/libs/core/tests/hedging_test.cc
@@ -567,5 +567,47 @@
   CHECK(after.hedge_at - fixture.Instance().Now() >= delay_before * 9 / 10);
 }
 
+// Guards against a hedge whose answer is written behind the part of an answer that broke off (MIXED).
+TEST_CASE("no hedge is sent once an answer has begun to reach the caller, and a break then ends the call") {
+  HedgingFixture fixture;
+  fixture.Serve(6);
+  fixture.RunUsual(100);
+  const RunningCall running = fixture.Start();
+  fixture.Instance().Advance(running.hedge_at - fixture.Instance().Now());
+  const Effects probes = fixture.HedgeDue(running);
+  REQUIRE_FALSE(SingleInstance::EffectsOfType<SendProbe>(probes).empty());
+  fixture.Instance().HandleEvent(Event::AnswerStarted{fixture.Instance().Now(), running.call});
+  CHECK(fixture.Instance().AnswerProbes(probes).empty());
+  Event::AttemptEnded ended;
+  ended.now = fixture.Instance().Now();
+  ended.call = running.call;
+  ended.endpoint = running.endpoint;
+  ended.result = AttemptResult::kBroken;
+  const Effects end = fixture.Instance().HandleEvent(ended);
+  CHECK(SingleInstance::EffectsOfType<SendProbe>(end).empty());
+  CHECK(SingleInstance::EffectsOfType<Dispatch>(end).empty());
+  CHECK(SingleInstance::EffectsOfType<Effect::Reject>(end).size() == 1);
+}
+
+// Guards against a call whose answer broke off and that waits for an attempt that was cancelled, or is answered by it.
+TEST_CASE("a break in an answer ends the call although the cancelled attempt has not ended yet") {
+  for (const AttemptResult result : {AttemptResult::kBrokenInAnswer, AttemptResult::kTimedOut}) {
+    HedgingFixture fixture;
+    fixture.Serve(6);
+    fixture.RunUsual(100);
+    const RunningCall running = fixture.Start();
+    fixture.Instance().Advance(running.hedge_at - fixture.Instance().Now());
+    REQUIRE(fixture.Instance().AnswerProbes(fixture.HedgeDue(running)).size() == 1);
+    fixture.Instance().HandleEvent(Event::AnswerStarted{fixture.Instance().Now(), running.call});
+    Event::AttemptEnded ended;
+    ended.now = fixture.Instance().Now();
+    ended.call = running.call;
+    ended.endpoint = running.endpoint;
+    ended.result = result;
+    const Effects end = fixture.Instance().HandleEvent(ended);
+    CHECK(SingleInstance::EffectsOfType<Effect::Reject>(end).size() == 1);
+  }
+}
+
 }  // namespace
 }  // namespace sassafras
--- a/libs/entry/src/call_exchange.cc
+++ b/libs/entry/src/call_exchange.cc
@@ -119,10 +119,10 @@
 
 bool CallExchange::Claim(const Attempt& attempt) {
   // The response of a cancelled attempt may have been received just before the cancellation.
-  const bool taken = m_answering_attempt != nullptr && m_answering_attempt != &attempt;
-  if (taken || m_completion != Completion::kPending)
+  if (m_answer_started || m_completion != Completion::kPending)
     return false;
-  m_answering_attempt = &attempt;
+  m_answer_started = true;
+  m_engine.Post(Event::AnswerStarted{m_engine.Now(), m_call});
   m_hedge_timer.cancel();
   for (const auto& other : m_attempts) {
     if (other.get() != &attempt)
@@ -131,14 +131,8 @@
   return true;
 }
 
-void CallExchange::ReleaseClaim(const Attempt& attempt) {
-  if (m_answering_attempt == &attempt)
-    m_answering_attempt = nullptr;
-}
-
 void CallExchange::ReportAttemptEnd(const Attempt& attempt, Event::AttemptEnded ended) {
   std::erase_if(m_attempts, [&](const auto& known) { return known.get() == &attempt; });
-  ReleaseClaim(attempt);
   ended.now = m_engine.Now();
   ended.call = m_call;
   m_engine.Post(std::move(ended));
@@ -164,6 +158,9 @@
   target.connect_timeout = m_connect_timeout;
   target.record_answer = dispatch.record_answer;
   auto attempt = std::make_shared<Attempt>(*this, m_engine, m_pool, m_dialect, std::move(target));
+  // An answer may have begun while this effect waited for its turn.
+  if (m_answer_started)
+    attempt->Cancel();
   m_attempts.push_back(attempt);
   ++m_attempts_made;
   if (dispatch.hedge_at != TimePoint::max())
@@ -181,7 +178,7 @@
   m_hedge_timer.expires_at(hedge_at);
   m_hedge_timer.async_wait([weak = weak_from_this()](error_code error) {
     const auto self = weak.lock();
-    if (error || self == nullptr || self->m_answering_attempt != nullptr || self->m_completion != Completion::kPending)
+    if (error || self == nullptr || self->m_answer_started || self->m_completion != Completion::kPending)
       return;
     self->m_engine.Post(Event::HedgeDue{self->m_engine.Now(), self->m_call});
   });
--- a/libs/entry/src/call_exchange.h
+++ b/libs/entry/src/call_exchange.h
@@ -80,10 +80,11 @@
   const std::shared_ptr<const RecordedAnswer>& Recorded() const { return m_recorded; }
 
   // The functions from here on are called by attempts.
-  /** Selects this attempt to answer the caller and cancels the others. False if another one was selected before. */
+  /**
+   * Selects this attempt, for good, to answer the caller and cancels the others. False if another one was selected
+   * before, or the call has ended.
+   */
   bool Claim(const Attempt& attempt);
-  /** Undoes Claim() of this attempt, so that another one may answer. */
-  void ReleaseClaim(const Attempt& attempt);
   /** Adds the end of an attempt to the call's log line. */
   void LogAttemptEnd(std::string_view endpoint, AttemptResult result, unsigned status, Duration elapsed);
   /** Reports the end of an attempt to the reducer. */
@@ -135,7 +136,8 @@
   asio::steady_timer m_hedge_timer;
   asio::steady_timer m_probe_wait_timer;
   std::vector<std::shared_ptr<Attempt>> m_attempts;
-  const Attempt* m_answering_attempt = nullptr;
+  /** Whether an attempt was selected to answer the caller. */
+  bool m_answer_started = false;
   bool m_response_started = false;
   CallLog m_log;
   PlanHandle m_plan;
