Settings: a process starts with any time or budget that the platform states (Fault)

Cause: the template writes bounds as durations, which took whole numbers only.

Evidence: exit code 3 with the line and the key at each start; with 7 in place of 6.5 the case holds.

--- a/libs/base/include/base/toml_reader.h
+++ b/libs/base/include/base/toml_reader.h
@@ -30,7 +30,7 @@
   int64_t Integer(std::string_view key, int64_t min, int64_t max);
   int64_t IntegerOr(std::string_view key, int64_t min, int64_t max, int64_t fallback);
   double NumberOr(std::string_view key, double min, double max, double fallback);
-  /** Reads a duration written as a string with a unit: "250us", "40ms", "2s", "10min". */
+  /** Reads a duration written as a string with a unit: "250us", "40ms", "2.5s", "10min". */
   std::chrono::microseconds DurationOr(std::string_view key,
                                        std::chrono::microseconds min,
                                        std::chrono::microseconds max,
--- a/libs/base/src/toml_reader.cc
+++ b/libs/base/src/toml_reader.cc
@@ -33,17 +33,20 @@
     {"s", microseconds(1'000'000)},
 }};
 
+/** Reads a number, which may have a fraction and an exponent, with a unit; rounds to whole microseconds. */
 std::optional<microseconds> ParseDuration(std::string_view text) {
   // Small enough for the product with the longest unit to fit into microseconds.
-  constexpr int64_t kMaxCount = 1'000'000;
-  int64_t count = 0;
+  constexpr double kMaxCount = 1'000'000;
+  double count = 0;
   const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), count);
-  if (error != std::errc() || count < 0 || count > kMaxCount)
+  // Written so that it also rejects "nan".
+  const bool in_range = count >= 0 && count <= kMaxCount;
+  if (error != std::errc() || !in_range)
     return std::nullopt;
   const std::string_view suffix = text.substr(static_cast<size_t>(end - text.data()));
   for (const Unit& unit : kUnits) {
     if (suffix == unit.suffix)
-      return count * unit.length;
+      return std::chrono::round<microseconds>(count * std::chrono::duration<double, std::micro>(unit.length));
   }
   return std::nullopt;
 }
@@ -133,7 +136,7 @@
   const auto value = text.has_value() ? ParseDuration(*text) : std::nullopt;
   if (!value.has_value() || *value < min || *value > max) {
     RecordError(node, fmt::format("'{}' is not a duration from {} to {}", key, min, max),
-                "write a whole number with a unit in quotes, such as \"40ms\", \"2s\" or \"10min\"");
+                "write a number with a unit in quotes, such as \"40ms\", \"2.5s\" or \"10min\"");
     return fallback;
   }
   return *value;
--- a/libs/settings/src/settings.cc
+++ b/libs/settings/src/settings.cc
@@ -14,6 +14,10 @@
 constexpr std::array<std::string_view, 6> kSelectionRules = {"random",       "round_robin", "least_in_flight",
                                                              "power_of_two", "peak_ewma",   "hot_cold"};
 constexpr size_t kDefaultSelectionIndex = 5;
+/** Upper limits of what a platform's settings state; a process must start with any such value. */
+constexpr microseconds kMaxPlatformTime = 24h * 365;
+constexpr double kMaxRetryRatio = 1e6;
+constexpr double kMaxRetrySlack = 1e9;
 constexpr microseconds kDefaultAddressTtl = 5s;
 constexpr microseconds kDefaultConnectTimeout = 250ms;
 constexpr microseconds kDefaultStopLimit = 60s;
@@ -42,15 +46,15 @@
   settings.store = reader.ChoiceOr("store", {"etcd", "platform"}, 0) == 0 ? StoreKind::kEtcd : StoreKind::kPlatform;
   settings.region = reader.StringOr("region", "");
   settings.page_listen = reader.StringListOrEmpty("page_listen");
-  settings.retry_ratio = reader.NumberOr("retry_ratio", 0, 10, kDefaultRetryRatio);
-  settings.retry_slack = reader.NumberOr("retry_slack", 0, 1'000'000, kDefaultRetrySlack);
+  settings.retry_ratio = reader.NumberOr("retry_ratio", 0, kMaxRetryRatio, kDefaultRetryRatio);
+  settings.retry_slack = reader.NumberOr("retry_slack", 0, kMaxRetrySlack, kDefaultRetrySlack);
   settings.ask_first = reader.ChoiceOr("ask_first", {"on", "off"}, 1) == 0;
   settings.gossip_period = reader.DurationOr("gossip_period", 10ms, 10s, kDefaultGossipPeriod);
   settings.seed_peers = reader.StringListOrEmpty("seed_peers");
   settings.selection = kSelectionRules[reader.ChoiceOr("selection", kSelectionRules, kDefaultSelectionIndex)];
   settings.address_ttl = reader.DurationOr("address_ttl", 100ms, 10min, kDefaultAddressTtl);
   settings.connect_timeout = reader.DurationOr("connect_timeout", 1ms, 10s, kDefaultConnectTimeout);
-  settings.kill_after = reader.DurationOr("kill_after", 0s, 60min, 0s);
+  settings.kill_after = reader.DurationOr("kill_after", 0s, kMaxPlatformTime, 0s);
   settings.stop_limit = reader.DurationOr("stop_limit", 1s, 60min, kDefaultStopLimit);
   settings.queue_limit = static_cast<uint32_t>(reader.IntegerOr("queue_limit", 0, 1'000'000, kDefaultQueueLimit));
   settings.caller_connections =
@@ -60,7 +64,7 @@
   settings.probing = reader.ChoiceOr("probing", {"on", "off"}, 0) == 0;
   settings.hedging = reader.ChoiceOr("hedging", {"on", "off"}, 0) == 0;
   settings.late_binding = reader.ChoiceOr("late_binding", {"on", "off"}, 0) == 0;
-  settings.key_revocation_limit = reader.DurationOr("key_revocation_limit", 0s, 60min, 0s);
+  settings.key_revocation_limit = reader.DurationOr("key_revocation_limit", 0s, kMaxPlatformTime, 0s);
   settings.hedge_limit = reader.NumberOr("hedge_limit", 0, 100, kDefaultHedgeLimit);
   if (absl::Status status = reader.Finish(); !status.ok())
     return status;
