Stop: a leaving instance rejects at once what might outlive its process (LOST)

Cause: how long a call may last was no part of the decision to take it.

Change: from 2.75 s after the request to stop, a call whose deadline lies beyond the end of the process is answered "stopping", not run. The end comes with the request to stop; the deadline is the shorter of caller's and plan's.

--- a/libs/core/include/core/event.h
+++ b/libs/core/include/core/event.h
@@ -214,6 +214,8 @@
   };
   struct StopRequested {
     TimePoint now;
+    /** When the process ends even if calls are in progress. */
+    TimePoint ends_at = TimePoint::max();
   };
 
   using Any = std::variant<ListsReceived,
--- a/libs/core/src/calls.cc
+++ b/libs/core/src/calls.cc
@@ -20,6 +20,8 @@
 
 /** A caller that allows more time, or states no limit, is taken to wait this long. */
 constexpr std::chrono::hours kMaxCallerWait{1};
+/** Time to answer a call whose deadline has passed before the process of a leaving instance ends. */
+constexpr std::chrono::milliseconds kLastAnswerTime{100};
 
 TimePoint ReceivedAt(const Event::CallArrived& event) {
   return event.received_at == TimePoint() ? event.now : event.received_at;
@@ -30,6 +32,17 @@
   return ReceivedAt(event) + std::min<Duration>(event.time_left, kMaxCallerWait);
 }
 
+/** Returns the time until which the call may run: what its caller and its plan allow. */
+TimePoint DeadlineOf(StateParts& parts, const Event::CallArrived& event) {
+  return ReceivedAt(event) + std::min<Duration>(event.time_left, parts.At(event.plan).config.deadline);
+}
+
+/** Whether the call might still run when the process of this leaving instance ends. */
+bool MayOutliveProcess(StateParts& parts, const Event::CallArrived& event) {
+  const bool leaving = event.now >= parts.admit_short_calls_from;
+  return leaving && DeadlineOf(parts, event) + kLastAnswerTime > parts.ends_at;
+}
+
 /** Returns how long the caller has been trying, if this instance rejected it before. */
 Duration SpentBefore(const StateParts& parts, const Event::CallArrived& event) {
   return parts.rejected_calls.SpentBefore(event.fingerprint, CallerDeadline(event), event.now);
@@ -97,8 +110,7 @@
   call.replayable = event.replayable;
   call.arrived_at = event.now;
   call.spent_before = SpentBefore(parts, event);
-  const Duration limit = std::min<Duration>(event.time_left, parts.At(event.plan).config.deadline);
-  call.deadline = ReceivedAt(event) + limit;
+  call.deadline = DeadlineOf(parts, event);
   call.caller_deadline = CallerDeadline(event);
   LearnCallerWait(parts.At(event.plan), call.caller_deadline - call.arrived_at);
   effects.push_back(Effect::Accepted{event.ticket, handle});
@@ -219,6 +231,10 @@
     Reject(parts, event, parts.lists.AreCurrent(event.now) ? Reason::kNoPlan : Reason::kListsNotCurrent, effects);
     return;
   }
+  if (MayOutliveProcess(parts, event)) {
+    RejectCounted(parts, event, Reason::kStopping, effects);
+    return;
+  }
   PlanState& plan = parts.At(event.plan);
   if (const auto reason = KeyRejection(parts, event)) {
     ++parts.keys.rejected_calls;
--- a/libs/core/src/control.cc
+++ b/libs/core/src/control.cc
@@ -49,6 +49,11 @@
 constexpr seconds kMaxDirectoryLag{60};
 /** Time for the other instances to learn that this one is leaving. */
 constexpr seconds kLeavePropagationTime{2};
+/**
+ * Time after the request to stop within which any call is admitted: its caller may not have learned of the stop. The
+ * users' rules excuse a call that is cut if it was sent within 3 s of the stop signal, which may be handled late.
+ */
+constexpr milliseconds kUnawareCallerTime{2'750};
 /** Time to read the requests that have arrived when a leaving instance closes its listeners. */
 constexpr milliseconds kLastReadTime{250};
 
@@ -358,6 +363,8 @@
       std::min<Duration>(kLeavePropagationTime + parts.options.address_ttl, parts.options.linger_limit);
   parts.close_at = served ? event.now + linger : event.now;
   parts.admit_until = event.now + parts.options.linger_limit + kLastReadTime;
+  parts.admit_short_calls_from = event.now + kUnawareCallerTime;
+  parts.ends_at = event.ends_at;
   ReleaseSeats(parts, event.now, effects);
   AnnounceLeaving(parts, event.now, effects);
   SendGossipRound(parts, event.now, effects);
--- a/libs/core/src/hedge_policy.cc
+++ b/libs/core/src/hedge_policy.cc
@@ -63,8 +63,8 @@
 bool MayHedge(StateParts& parts, const CallState& call) {
   const PlanState& plan = parts.At(call.plan);
   return parts.options.hedging && HedgeLimit(parts, call) > 0 && MayRepeat(parts, call) && call.replayable &&
-         !call.answer_started && call.hedge_index == 0 && plan.hedging.delay.count() > 0 && call.attempts < MaxAttempts(call) &&
-         !parts.quarantine.IsSuspect(call.fingerprint);
+         !call.answer_started && call.hedge_index == 0 && plan.hedging.delay.count() > 0 &&
+         call.attempts < MaxAttempts(call) && !parts.quarantine.IsSuspect(call.fingerprint);
 }
 
 bool IsSlowAsWhole(const ServiceState& service) {
--- a/libs/core/src/state_parts.h
+++ b/libs/core/src/state_parts.h
@@ -58,8 +58,12 @@
   Phase phase = Phase::kStarting;
   /** When a leaving instance closes its listeners. */
   TimePoint close_at{};
-  /** When a leaving instance stops admitting calls: what it passed on later might not end before the process does. */
+  /** When a leaving instance stops admitting calls. */
   TimePoint admit_until = TimePoint::max();
+  /** From then on, a leaving instance admits only calls whose deadline has passed by the end of the process. */
+  TimePoint admit_short_calls_from = TimePoint::max();
+  /** When the process of a leaving instance ends even if calls are in progress. */
+  TimePoint ends_at = TimePoint::max();
 
   CallerLimits limits;
   AccountTable accounts;
--- a/libs/entry/src/entry_instance.cc
+++ b/libs/entry/src/entry_instance.cc
@@ -335,8 +335,9 @@
   if (m_engine.GetState().CurrentPhase() == Phase::kLeaving || m_closing)
     return;
   Log(LogLevel::kInfo, "stop_requested", {{"instance", m_settings.instance}});
-  m_stop_timer.expires_after(MaxStopDuration(duration_cast<milliseconds>(m_settings.kill_after),
-                                             duration_cast<milliseconds>(m_settings.stop_limit)));
+  const TimePoint ends_at = m_engine.Now() + MaxStopDuration(duration_cast<milliseconds>(m_settings.kill_after),
+                                                             duration_cast<milliseconds>(m_settings.stop_limit));
+  m_stop_timer.expires_at(ends_at);
   m_stop_timer.async_wait([this](error_code error) {
     if (error)
       return;
@@ -344,7 +345,7 @@
     Log(LogLevel::kError, "stop_limit_reached", {{"cut", std::to_string(m_aborted_requests)}});
     m_context.stop();
   });
-  m_engine.Post(Event::StopRequested{m_engine.Now()});
+  m_engine.Post(Event::StopRequested{m_engine.Now(), ends_at});
   m_link->OnStopRequested();
 }
 
