--- a/libs/core/include/core/event.h
+++ b/libs/core/include/core/event.h
@@ -62,6 +62,8 @@
      * returned data from before its begin, or if what it returned could not be used.
      */
     TimePoint read_started_at{};
+    /** Upper bound of the time since the store stated this. */
+    std::chrono::milliseconds age{};
   };
   /** The machine was found to have been suspended for `total` since its start, while the time of events stood still. */
   struct SuspensionNoticed {
@@ -89,8 +91,8 @@
     /** Whether the event lists all endpoints: any other endpoint is gone. */
     bool whole = false;
     std::vector<EndpointChange> changes;
-    /** Whether the data comes from a peer; if so, `age` is the age of the peer's data. */
     bool from_peer = false;
+    /** Upper bound of the time since the store stated this, to this instance or to the peer that it comes from. */
     std::chrono::milliseconds age{};
     /** Whether the store may have returned stale data. */
     bool may_lag = false;
@@ -211,6 +213,8 @@
     std::chrono::milliseconds address_ttl{};
     std::chrono::milliseconds linger_limit{};
     double hedge_limit = 0;
+    std::chrono::milliseconds endpoint_leave_limit{2'000};
+    std::chrono::milliseconds lists_apply_limit{2'000};
   };
   struct StopRequested {
     TimePoint now;
--- a/libs/core/include/core/log_record.h
+++ b/libs/core/include/core/log_record.h
@@ -33,11 +33,13 @@
     kEvacuationEnded,
     /** Hedges of a plan were not sent because the operators' limit was used up; at most one record a minute. */
     kHedgesRefused,
+    /** This instance reads the store itself, because nobody has confirmed lately what it knows. */
+    kStaleRead,
   };
   Kind kind = Kind::kEndpointServing;
   /**
-   * Name of an endpoint, failure domain, account or plan, of the first of several members or of this instance, or the
-   * fingerprint of a request.
+   * Name of an endpoint, failure domain, account or plan, of the first of several members or of this instance, the
+   * fingerprint of a request, or "lists" or "endpoints".
    */
   std::string subject;
   /**
--- a/libs/core/include/core/state.h
+++ b/libs/core/include/core/state.h
@@ -63,6 +63,8 @@
   const Plan& PlanConfig(PlanHandle plan) const;
   /** Whether there are client accounts, so that calls of plans that are not public need an API key. */
   bool HasAccounts() const;
+  /** Longest time that a watch of the lists in the store may wait for a change. */
+  std::chrono::milliseconds ListsWatchWait() const;
   /** Whether calls with API keys run only while the lists were confirmed recently. */
   bool NeedsKeyConfirmation() const;
   /** Whether calls with API keys may run now, as far as the confirmation of the lists is concerned. */
--- a/libs/core/include/core/state_options.h
+++ b/libs/core/include/core/state_options.h
@@ -55,6 +55,10 @@
    * while the lists were confirmed within a fraction of it.
    */
   std::chrono::milliseconds key_revocation_limit{};
+  /** Time within which every instance must act on it that an endpoint leaves, after the store accepted the change. */
+  std::chrono::milliseconds endpoint_leave_limit{2'000};
+  /** The same for new lists. */
+  std::chrono::milliseconds lists_apply_limit{2'000};
   /** Hedges per call that a service may make, unless its plan or service sets another limit; 0 turns hedging off. */
   double hedge_limit = 0.1;
 };
--- a/libs/core/src/control.cc
+++ b/libs/core/src/control.cc
@@ -7,6 +7,7 @@
 #include "discovery.h"
 #include "dispatch.h"
 #include "endpoint_learning.h"
+#include "freshness.h"
 #include "gossip.h"
 #include "hedge_policy.h"
 #include "key_confirmation.h"
@@ -40,8 +41,6 @@
 constexpr seconds kWatcherPollPeriod{1};
 /** Polls per second of the whole fleet while no instance has a recent confirmation from the store. */
 constexpr double kFleetPollsPerSecond = 8.0;
-/** Like kFleetPollsPerSecond, but with discovery, where each read of the store is billed. */
-constexpr double kFleetDiscoveryPollsPerSecond = 2.0;
 /** Minimum time between two writes of the lists back to the store. */
 constexpr seconds kMinRestoreInterval{5};
 constexpr seconds kSeatClaimPeriod{2};
@@ -93,11 +92,11 @@
     PollNow(parts, may_lag, now, effects);
     return;
   }
-  if (now - lists.store_confirmed_at < ListsTracker::kMaxConfirmationAge || !KnowsFleet(parts, now))
+  // With discovery, see ReadStaleLists().
+  if (parts.options.discovery || now - lists.store_confirmed_at < ListsTracker::kMaxConfirmationAge)
     return;
   const auto fleet = static_cast<double>(std::max<size_t>(1, parts.members.CountServing(now)));
-  const double rate = parts.options.discovery ? kFleetDiscoveryPollsPerSecond : kFleetPollsPerSecond;
-  const double chance = rate * std::chrono::duration<double>(kMaintenancePeriod).count() / fleet;
+  const double chance = kFleetPollsPerSecond * std::chrono::duration<double>(kMaintenancePeriod).count() / fleet;
   if (std::uniform_real_distribution<double>(0.0, 1.0)(parts.random) < chance)
     PollNow(parts, false, now, effects);
 }
@@ -183,6 +182,7 @@
   UpdateKeyConfirmation(parts, now, effects);
   ClaimSeats(parts, now, effects);
   RefreshRoster(parts, now, effects);
+  UpdateFreshnessRole(parts, now);
   if (parts.phase == Phase::kStarting)
     FetchListsFromPeers(parts, 1, effects);
 }
@@ -233,7 +233,9 @@
   if (event.generation <= lists.generation)
     EndRevalidationIfAlone(parts, event.now);
   if (event.generation <= lists.generation)
-    lists.store_confirmed_at = event.now;
+    lists.store_confirmed_at = std::max(lists.store_confirmed_at, event.now - event.age);
+  if (event.generation <= lists.generation)
+    AnnounceConfirmedLists(parts, event.now, effects);
   if (event.generation <= lists.generation && event.read_started_at != TimePoint())
     ConfirmKeys(parts, event.read_started_at, event.now);
   const bool older = event.generation < lists.generation;
@@ -322,6 +324,7 @@
   UpdateQuotas(parts, now, effects);
   UpdateDiscovery(parts, now, effects);
   CheckWatchers(parts, now, effects);
+  ReadStaleLists(parts, now, effects);
   if (now >= parts.next_maintenance)
     RunMaintenance(parts, now, effects);
   CloseIfDue(parts, now, effects);
@@ -332,6 +335,9 @@
     return now + kBusyTickPeriod;
   TimePoint next = std::min({parts.next_gossip, parts.next_maintenance, NextDiscoveryTime(parts),
                              NextWatcherCheckTime(parts), NextQuotaTime(parts)});
+  const TimePoint lists_read = ListsReadTime(parts);
+  if (parts.options.discovery && lists_read > parts.last_tick)
+    next = std::min(next, lists_read);
   if (parts.probes.HoldsAny(now))
     next = std::min(next, parts.next_probe_check);
   if (parts.phase == Phase::kLeaving)
@@ -347,6 +353,8 @@
   options.address_ttl = event.address_ttl;
   options.linger_limit = event.linger_limit;
   options.hedge_limit = event.hedge_limit;
+  options.endpoint_leave_limit = event.endpoint_leave_limit;
+  options.lists_apply_limit = event.lists_apply_limit;
   if (budgets_change)
     ResetBudgets(parts);
   UpdateHedgeAllowances(parts);
--- a/libs/core/src/discovery.cc
+++ b/libs/core/src/discovery.cc
@@ -4,16 +4,17 @@
 #include <array>
 #include <chrono>
 #include <memory>
-#include <random>
 #include <utility>
 
 #include "base/backoff.h"
 #include "control.h"
 #include "core/gossip_message.h"
+#include "freshness.h"
 #include "gossip.h"
 #include "lists_apply.h"
 #include "roster.h"
 #include "state_parts.h"
+#include "watchers.h"
 
 namespace sassafras {
 namespace {
@@ -24,19 +25,15 @@
 constexpr milliseconds kReregistrationGrace{2'000};
 /** Reads that may lag show a restore after this time at the latest. */
 constexpr milliseconds kMaxReadLag{5'000};
-/** Number of instances that read the changes in the store for the whole fleet. */
-constexpr size_t kReaderCount = 3;
-/** "read" in ASCII. */
-constexpr uint64_t kReaderRankSeed = 0x72656164;
 /** Time between reads of the endpoints, unless changes or failures require another. */
 constexpr milliseconds kEndpointReadPeriod{900};
-/** Longest time that a read waits for a change. */
-constexpr milliseconds kMaxChangeWait{2'000};
+/** Shortest time that a watcher's read waits for a change. */
+constexpr milliseconds kMinChangeWait{100};
+/** Age of the last read after which the next one is of all endpoints: the store keeps the latest changes only. */
+constexpr milliseconds kMaxChangesAge{10'000};
 /** Minimum time from the receipt of endpoints to the next read: after a change, and after heartbeats alone. */
 constexpr milliseconds kReadPauseAfterChange{150};
 constexpr milliseconds kReadPauseAfterHeartbeats{300};
-/** Other instances read the store too once the last confirmation of the endpoints is older than this. */
-constexpr milliseconds kMaxEndpointsConfirmationAge{3'500};
 /** Time for which a peer's endpoints may differ before this instance reads all of them from that peer or the store. */
 constexpr milliseconds kMaxMismatchTime{1'000};
 /** Delay between the attempts of a starting instance to read the endpoints. */
@@ -95,9 +92,9 @@
     AnnounceEndpointChanges(parts, std::move(batch), now, effects);
 }
 
-bool IsEndpointReader(StateParts& parts, TimePoint now) {
-  return KnowsFleet(parts, now) &&
-         parts.members.RankPreferringReachable(kReaderRankSeed, parts.self_hash, now) < kReaderCount;
+/** How long a watcher's read waits for a change: with the pause before the next read, as long as a watch may wait. */
+milliseconds ChangeWait(const StateParts& parts) {
+  return std::max(kMinChangeWait, WatchWait(parts, EndpointsFreshness(parts)) - kReadPauseAfterHeartbeats);
 }
 
 /** Whether this instance should read the store now; if so, sets the parameters of the read in `read`. */
@@ -125,19 +122,20 @@
   }
   if (since < kEndpointReadPeriod)
     return false;
-  if (IsEndpointReader(parts, now)) {
+  if (IsWatcher(parts, now)) {
     // Until now the listing may have held endpoints that ended before the store was restored.
     whole = now >= feed.rereads_at;
     if (whole)
       return true;
-    read.wait = kMaxChangeWait;
+    read.wait = ChangeWait(parts);
     return true;
   }
-  if (now - feed.confirmed_at < kMaxEndpointsConfirmationAge || !KnowsFleet(parts, now))
+  if (now < EndpointsReadTime(parts))
     return false;
-  // No instance has a recent confirmation: a few random instances read the store, to avoid a burst of reads.
-  const auto fleet = static_cast<double>(std::max<size_t>(1, parts.members.CountServing(now)));
-  return std::uniform_real_distribution<double>(0.0, 1.0)(parts.random) < static_cast<double>(kReaderCount) / fleet;
+  OnStaleEndpointsRead(parts, now);
+  // The store no longer has the changes since a read long ago.
+  whole = since > kMaxChangesAge;
+  return true;
 }
 
 /** Notes a revision that the store or a peer reports; after a restore, what this instance wrote may be lost too. */
@@ -183,27 +181,29 @@
     feed.rereads_at = TimePoint::max();
   if (first)
     StartServing(parts);
-  if (new_changes.empty())
-    return;
-  ApplyDiscoveredEndpoints(parts, event.now);
+  if (!new_changes.empty())
+    ApplyDiscoveredEndpoints(parts, event.now);
   // The endpoints of the first read are not logged one by one.
   if (!first)
     LogEndpointChanges(parts, new_changes, event.from_peer ? "peer" : "store");
   if (!first && !event.from_peer)
     BroadcastChanges(parts, new_changes, event.now, effects);
+  if (!event.from_peer && !event.may_lag)
+    AnnounceConfirmedEndpoints(parts, event.now, effects);
 }
 
 void OnStoreReadEnded(StateParts& parts, const Event::StoreReadEnded& event, Effects& effects) {
   EndpointFeed& feed = parts.feed;
+  OnStoreCallEnded(parts, event.ok, event.now);
   const bool changed = parts.self.store_reachable != event.ok;
   if (changed) {
-    const bool has_role = parts.lists.watching || IsEndpointReader(parts, event.now);
+    const bool has_role = parts.lists.watching || IsWatcher(parts, event.now);
     parts.self.store_reachable = event.ok;
     parts.members.UpdateStoreReachable(parts.self.name, event.ok, parts.self.heartbeat);
     parts.next_maintenance = event.now;
-    // Announced at once only if this instance watches or reads the store for others; otherwise gossip rounds spread it.
+    // Announced at once only if this instance watches the store for others; otherwise gossip rounds spread it.
     if (has_role)
-      AnnounceSelf(parts, event.now, effects);
+      AnnounceState(parts, event.now, effects);
   }
   if (!event.ok) {
     ++feed.read_failures;
@@ -277,9 +277,12 @@
 TimePoint NextDiscoveryTime(const StateParts& parts) {
   if (!parts.options.discovery)
     return TimePoint::max();
-  const TimePoint read = parts.feed.last_read_at + kEndpointReadPeriod;
-  const bool read_soon = parts.feed.as_of > 0 && parts.feed.read_failures == 0 && read > parts.last_tick;
-  return std::min(parts.feed.NextExpiry(), read_soon ? read : TimePoint::max());
+  TimePoint next = parts.feed.NextExpiry();
+  for (const TimePoint read : {parts.feed.last_read_at + kEndpointReadPeriod, EndpointsReadTime(parts)}) {
+    const bool soon = parts.feed.as_of > 0 && parts.feed.read_failures == 0 && read > parts.last_tick;
+    next = soon ? std::min(next, read) : next;
+  }
+  return next;
 }
 
 }  // namespace sassafras
--- a/libs/core/src/gossip.cc
+++ b/libs/core/src/gossip.cc
@@ -21,6 +21,7 @@
 namespace sassafras {
 namespace {
 
+using std::chrono::ceil;
 using std::chrono::duration_cast;
 using std::chrono::milliseconds;
 
@@ -53,6 +54,8 @@
 constexpr milliseconds kMinLeavingQueryInterval{100};
 /** Shortest time between two notices to peers with outdated lists or endpoints. */
 constexpr milliseconds kMinOutdatedNoticeInterval{20};
+/** Time that a message usually takes at most, with its handling, from one instance to another. */
+constexpr milliseconds kMaxTransitTime{20};
 /** Load reports older than this are not gossiped. */
 constexpr milliseconds kMaxGossipedLoadAge{200};
 /** Load reports that this instance got itself within this time are not replaced by a peer's. */
@@ -151,17 +154,22 @@
   }
 }
 
+/** Age of a confirmation when a message reaches its receiver: what circulates must not seem younger with each hop. */
+milliseconds AgeOnArrival(TimePoint confirmed_at, TimePoint now) {
+  return ceil<milliseconds>(now - confirmed_at) + kMaxTransitTime;
+}
+
 /** Makes a message with only the sender, the generation of its lists and digests of what it knows. */
 std::shared_ptr<GossipMessage> MakeBaseMessage(const StateParts& parts, TimePoint now) {
   auto message = std::make_shared<GossipMessage>();
   message->sender = parts.self;
   message->generation = parts.lists.generation;
-  message->store_age = duration_cast<milliseconds>(now - parts.lists.store_confirmed_at);
+  message->store_age = AgeOnArrival(parts.lists.store_confirmed_at, now);
   message->lists_confirmed_age = KeyConfirmationAge(parts, now);
   message->endpoints_digest = parts.feed.Digest();
   message->endpoints_as_of = parts.feed.CompleteRevision(now);
   message->leaving_digest = parts.rumors.LeavingDigest();
-  message->endpoints_age = duration_cast<milliseconds>(now - parts.feed.confirmed_at);
+  message->endpoints_age = AgeOnArrival(parts.feed.confirmed_at, now);
   message->evacuations = parts.evacuations.known;
   return message;
 }
@@ -428,10 +436,14 @@
   SendToPeers(parts, PeerFilter::kAliveSameDomain, MakeBaseMessage(parts, now), now, effects);
 }
 
-void AnnounceSelf(StateParts& parts, TimePoint now, Effects& effects) {
+void AnnounceState(StateParts& parts, TimePoint now, Effects& effects) {
   SendToPeers(parts, PeerFilter::kAlive, MakeBaseMessage(parts, now), now, effects);
 }
 
+void AnnounceStateTo(StateParts& parts, const std::string& address, TimePoint now, Effects& effects) {
+  effects.push_back(Effect::SendGossip{address, MakeBaseMessage(parts, now)});
+}
+
 void QueryPeer(StateParts& parts, const std::string& address, uint64_t query_id, TimePoint now, Effects& effects) {
   std::shared_ptr<GossipMessage> query = MakeBaseMessage(parts, now);
   query->ask = query_id;
--- a/libs/core/src/gossip.h
+++ b/libs/core/src/gossip.h
@@ -43,8 +43,12 @@
 void AnnounceEvacuations(StateParts& parts, TimePoint now, Effects& effects);
 /** Tells the peers in this failure domain which ones are evacuated. */
 void RelayEvacuations(StateParts& parts, TimePoint now, Effects& effects);
-/** Sends this instance's own member entry to every peer at once. */
-void AnnounceSelf(StateParts& parts, TimePoint now, Effects& effects);
+/**
+ * Sends this instance's own member entry, digests of what it knows and the age of their confirmation to every peer at
+ * once, or to one peer.
+ */
+void AnnounceState(StateParts& parts, TimePoint now, Effects& effects);
+void AnnounceStateTo(StateParts& parts, const std::string& address, TimePoint now, Effects& effects);
 
 /** Asks one peer for all its rumors; its reply repeats `query_id`. */
 void QueryPeer(StateParts& parts, const std::string& address, uint64_t query_id, TimePoint now, Effects& effects);
--- a/libs/core/src/key_confirmation.cc
+++ b/libs/core/src/key_confirmation.cc
@@ -161,7 +161,11 @@
 }
 
 void OnSuspensionNoticed(StateParts& parts, const Event::SuspensionNoticed& event) {
-  parts.keys.suspended = std::max(parts.keys.suspended, event.total);
+  const Duration suspended = std::max(Duration::zero(), event.total - parts.keys.suspended);
+  parts.keys.suspended += suspended;
+  // The time of events stood still, but what is known has grown older.
+  parts.lists.store_confirmed_at -= suspended;
+  parts.feed.confirmed_at -= suspended;
 }
 
 }  // namespace sassafras
--- a/libs/core/src/state.cc
+++ b/libs/core/src/state.cc
@@ -72,6 +72,10 @@
   return std::chrono::duration_cast<std::chrono::milliseconds>(now - m_parts->lists.store_confirmed_at);
 }
 
+std::chrono::milliseconds State::ListsWatchWait() const {
+  return WatchWait(*m_parts, ListsFreshness(*m_parts));
+}
+
 size_t State::CallsInProgress() const {
   return m_parts->calls.Size();
 }
@@ -177,7 +181,7 @@
 }
 
 std::chrono::milliseconds State::EndpointsAge(TimePoint now) const {
-  return std::chrono::duration_cast<std::chrono::milliseconds>(now - m_parts->feed.confirmed_at);
+  return std::chrono::ceil<std::chrono::milliseconds>(now - m_parts->feed.confirmed_at);
 }
 
 uint64_t State::EndpointsAsOf() const {
--- a/libs/core/src/state_parts.h
+++ b/libs/core/src/state_parts.h
@@ -14,6 +14,7 @@
 #include "endpoint_feed.h"
 #include "endpoint_table.h"
 #include "evacuation_state.h"
+#include "freshness.h"
 #include "idempotency_table.h"
 #include "key_confirmation.h"
 #include "lists/caller_limits.h"
@@ -87,6 +88,7 @@
   RumorBoard rumors;
   RosterState roster;
   WatcherState watchers;
+  FreshnessState freshness;
   ProbeSchedule probes;
   /** Load probes that this instance may still send to endpoints. */
   TimedTokenBucket load_probe_budget;
--- a/libs/core/src/watchers.cc
+++ b/libs/core/src/watchers.cc
@@ -2,10 +2,14 @@
 
 #include <algorithm>
 #include <chrono>
+#include <map>
+#include <string_view>
+#include <utility>
 #include <vector>
 
 #include "base/hash.h"
 #include "core/gossip_message.h"
+#include "freshness.h"
 #include "gossip.h"
 #include "key_confirmation.h"
 #include "roster.h"
@@ -21,7 +25,7 @@
 constexpr size_t kWatchersPerDomain = 1;
 /** "watch" in ASCII. */
 constexpr uint64_t kWatcherRankSeed = 0x7761746368;
-/** Time between queries of an instance in a small fleet. */
+/** Shortest time between queries, in a small fleet. */
 constexpr milliseconds kMinQueryPeriod{500};
 /** Queries per second that one watcher gets in a large fleet, whose instances query less often. */
 constexpr double kQueriesPerWatcherPerSecond = 40.0;
@@ -29,8 +33,6 @@
 constexpr milliseconds kMaxQueryPeriodForKeys{1'200};
 /** Longest time to wait for a reply. */
 constexpr milliseconds kReplyTimeout{250};
-/** Consecutive missed replies after which an instance polls the store. */
-constexpr uint32_t kMissedRepliesBeforePoll = 2;
 
 /** Other members of this instance's failure domain that are alive and not leaving. */
 std::vector<const Membership::Entry*> SameDomainMembers(const StateParts& parts, TimePoint now) {
@@ -43,14 +45,16 @@
   return candidates;
 }
 
+/** The members of a failure domain watch in the order of this; members that reach the store come first. */
+std::pair<bool, uint64_t> WatcherOrder(const Membership::Entry& entry) {
+  return {!entry.member.store_reachable, HashCombine(kWatcherRankSeed, entry.name_hash)};
+}
+
 /** Chooses one of the watchers among `candidates` at random. */
 const Membership::Entry& RandomWatcher(StateParts& parts, std::vector<const Membership::Entry*> candidates) {
-  const auto order = [](const Membership::Entry* entry) {
-    return std::pair(!entry->member.store_reachable, HashCombine(kWatcherRankSeed, entry->name_hash));
-  };
   const size_t count = std::min(candidates.size(), kWatchersPerDomain);
   std::partial_sort(candidates.begin(), candidates.begin() + static_cast<std::ptrdiff_t>(count), candidates.end(),
-                    [&](const auto* a, const auto* b) { return order(a) < order(b); });
+                    [](const auto* a, const auto* b) { return WatcherOrder(*a) < WatcherOrder(*b); });
   return *candidates[parts.random() % count];
 }
 
@@ -64,23 +68,41 @@
              kWatchersPerDomain;
 }
 
+bool IsFirstWatcher(const StateParts& parts, TimePoint now) {
+  return parts.options.discovery && KnowsFleet(parts, now) &&
+         parts.members.RankPreferringReachable(kWatcherRankSeed, parts.self_hash, now) == 0;
+}
+
+void AnnounceStateToWatchers(StateParts& parts, TimePoint now, Effects& effects) {
+  // The first member of each failure domain in the order of watchers.
+  std::map<std::string_view, const Membership::Entry*> watchers;
+  for (const Membership::Entry& entry : parts.members.All()) {
+    const bool other_domain = entry.member.failure_domain != parts.self.failure_domain;
+    if (!other_domain || entry.member.leaving || !parts.members.IsAlive(entry, now))
+      continue;
+    const Membership::Entry*& watcher = watchers[entry.member.failure_domain];
+    if (watcher == nullptr || WatcherOrder(entry) < WatcherOrder(*watcher))
+      watcher = &entry;
+  }
+  for (const auto& [domain, watcher] : watchers)
+    AnnounceStateTo(parts, watcher->member.peer_address, now, effects);
+}
+
 void CheckWatchers(StateParts& parts, TimePoint now, Effects& effects) {
   WatcherState& watchers = parts.watchers;
   if (now < NextWatcherCheckTime(parts))
     return;
-  if (watchers.pending_query != 0) {
-    watchers.pending_query = 0;
+  if (std::exchange(watchers.pending_query, 0) != 0)
     ++watchers.missed_replies;
-    if (watchers.missed_replies % kMissedRepliesBeforePoll == 0)
-      effects.push_back(Effect::PollStore{});
-  }
   const std::vector<const Membership::Entry*> candidates = SameDomainMembers(parts, now);
   auto pause = std::chrono::duration_cast<Duration>(
       std::chrono::duration<double>(static_cast<double>(candidates.size()) /
                                     (kQueriesPerWatcherPerSecond * static_cast<double>(kWatchersPerDomain))));
+  pause = std::max<Duration>(pause, kMinQueryPeriod);
   if (NeedsKeyConfirmation(parts))
     pause = std::min<Duration>(pause, kMaxQueryPeriodForKeys);
-  watchers.next_query_at = now + std::max<Duration>(kMinQueryPeriod, pause);
+  pause = std::min<Duration>({pause, ListsFreshness(parts).query_period, EndpointsFreshness(parts).query_period});
+  watchers.next_query_at = now + pause;
   if (candidates.empty())
     return;
   const Membership::Entry& watcher = RandomWatcher(parts, candidates);
--- a/libs/core/src/watchers.h
+++ b/libs/core/src/watchers.h
@@ -12,17 +12,23 @@
 
 /**
  * Some instances, the watchers, watch the platform's store for the fleet or, with discovery, for their failure domain.
- * With discovery, every other instance regularly queries a watcher, to detect that it is gone, and polls the store
- * after each kMissedRepliesBeforePoll missed replies.
+ * With discovery, every other instance regularly queries a watcher, whose reply states the age of what it knows; if no
+ * reply comes, what the instance knows grows old (freshness.h).
  *
- * Two other roles use the store as well, both with discovery: the readers (discovery.cc) read the changes to endpoints
- * for the fleet, and the writer (roster.cc) writes the roster of instances.
+ * With discovery, a watcher watches the endpoints (discovery.cc) as well as the lists, and one watcher confirms for all
+ * that nothing has changed (freshness.h). The writer (roster.cc) writes the roster of instances.
  */
 
 /** Whether this instance is a watcher. */
 bool IsWatcher(const StateParts& parts, TimePoint now);
 
-/** Sends the next query to a watcher, counts missed replies and polls the store after too many. */
+/** Whether this instance is the first of all watchers of the fleet; only with discovery. */
+bool IsFirstWatcher(const StateParts& parts, TimePoint now);
+
+/** Tells the watchers of the other failure domains what this instance knows, and when it was confirmed. */
+void AnnounceStateToWatchers(StateParts& parts, TimePoint now, Effects& effects);
+
+/** Sends the next query to a watcher and counts missed replies. */
 void CheckWatchers(StateParts& parts, TimePoint now, Effects& effects);
 
 /** Handles the reply of a watcher; ignores other messages. */
--- a/libs/core/tests/discovery_test.cc
+++ b/libs/core/tests/discovery_test.cc
@@ -177,9 +177,9 @@
 
 TEST_CASE("an instance that cannot reach the store tells all peers, and another one watches the store instead") {
   Fixture fixture;
-  // After 5.1 s the instance no longer waits to learn of peers; in a fleet of three each instance reads the store.
+  // After 5.1 s the instance no longer waits to learn of peers; it watches the store, since its peers do not reach it.
   fixture.instance.Advance(Millis(5'100));
-  fixture.ReceiveGossipFromPeers(2, 1, true);
+  fixture.ReceiveGossipFromPeers(2, 1, false);
   const Effects& effects = fixture.instance.HandleEvent(Event::StoreReadEnded{fixture.instance.Now(), false});
   CHECK(SingleInstance::EffectsOfType<Effect::SendGossip>(effects).size() == 2);
   fixture.ReportStoreRead(true);
--- a/libs/core/tests/platform_fleet_simulation.cc
+++ b/libs/core/tests/platform_fleet_simulation.cc
@@ -248,14 +248,12 @@
 void PlatformFleetSimulation::SetIsolated(size_t instance, bool isolated) {
   m_instances[instance].isolated = isolated;
   ForgetHoldOffs(instance);
-  // Peers that rely on the instance to read the store are affected too, until another one takes over.
-  m_gossip_undisturbed_since = m_now;
   MarkDisturbed(instance);
 }
 
 void PlatformFleetSimulation::SetStoreMode(size_t instance, StoreMode mode) {
   m_instances[instance].store_mode = mode;
-  m_store_undisturbed_since = m_now;
+  MarkDisturbed(instance);
 }
 
 void PlatformFleetSimulation::TakeStoreDown(StoreMode mode, bool expire_entries) {
@@ -476,10 +474,8 @@
   const Instance& instance = m_instances[index];
   const TimePoint last_disturbance =
       std::max({instance.undisturbed_since, m_store_undisturbed_since, m_gossip_undisturbed_since});
-  const bool all_connected = std::all_of(m_instances.begin(), m_instances.end(), [](const Instance& other) {
-    return other.store_mode == StoreMode::kAnswers && !other.isolated;
-  });
-  return instance.state != nullptr && !instance.paused && all_connected && m_gossip_drop_rate == 0.0 &&
+  const bool connected = instance.store_mode == StoreMode::kAnswers && !instance.isolated;
+  return instance.state != nullptr && !instance.paused && connected && !m_store_down && m_gossip_drop_rate == 0.0 &&
          m_now - last_disturbance >= kUndisturbedTime;
 }
 
--- a/libs/core/tests/platform_fleet_simulation.h
+++ b/libs/core/tests/platform_fleet_simulation.h
@@ -125,6 +125,8 @@
   void RecoverAndCheck();
 
   bool IsUp(size_t instance) const { return m_instances[instance].state != nullptr; }
+  /** Whether the instance watches the store for its failure domain. */
+  bool IsWatching(size_t instance) const { return m_instances[instance].watching; }
   bool IsPaused(size_t instance) const { return m_instances[instance].paused; }
   bool IsEndpointUp(size_t address) const { return m_endpoints[address].up; }
   const State& StateOf(size_t instance) const { return *m_instances[instance].state; }
@@ -216,7 +218,7 @@
   void HandleEvent(size_t instance, const Event::Any& event);
   void StartInstance(size_t instance);
   void MarkDisturbed(size_t instance) { m_instances[instance].undisturbed_since = m_now; }
-  /** Whether kUndisturbedTime has passed without failures of the instance, its peers or the store. */
+  /** Whether kUndisturbedTime has passed without failures of the instance, the network or the store for all. */
   bool IsUndisturbed(size_t instance) const;
   void PutEntry(size_t address);
   std::shared_ptr<const Lists> MakeLists(uint64_t generation) const;
@@ -242,6 +244,10 @@
 
   /** Calls the store for the instance, then runs `on_answer`, or `on_failure` if it refused or did not reply. */
   void CallStore(size_t instance, std::function<void()> on_answer, std::function<void()> on_failure);
+  /** Ends a read of the endpoints that the store stopped answering. */
+  void FailLongPoll(size_t instance, uint64_t incarnation, bool whole, TimePoint respond_by);
+  /** Time since the store stated something. */
+  Millis AgeOf(TimePoint stated_at) const;
   void LongPollEndpoints(size_t instance, const Effect::ReadEndpoints& read, TimePoint respond_by);
   void DeliverStoreRead(size_t instance, uint64_t incarnation, bool ok);
   void ContinueWatch(size_t instance, uint64_t incarnation, uint64_t operator_revision, TimePoint wait_until);
@@ -284,8 +290,8 @@
 
   /** Reports a violation if the API key of the call was removed too long ago. */
   void CheckKey(const CallRecord& call);
-  /** Longest time that one watch request waits for a change. */
-  Millis MaxWatchWait() const { return m_with_keys ? Millis(700) : Millis(2'200); }
+  /** Longest time that one watch request of the instance waits for a change. */
+  Millis MaxWatchWait(size_t instance) const;
 
   std::mt19937_64 m_random;
   bool m_with_keys;
--- a/libs/core/tests/platform_fleet_simulation_effects.cc
+++ b/libs/core/tests/platform_fleet_simulation_effects.cc
@@ -15,6 +15,8 @@
 constexpr Millis kServiceTimeSpan{120};
 /** Time after which a call to a store that does not reply fails. */
 constexpr Millis kStoreTimeout{900};
+/** Time after which a watch whose wait has ended fails. */
+constexpr Millis kWatchTimeoutMargin{700};
 /** Time after which a refused watch request is repeated. */
 constexpr Millis kWatchRetryDelay{400};
 constexpr size_t kEndpointSlots = 6;
@@ -69,6 +71,16 @@
   return lists;
 }
 
+Millis PlatformFleetSimulation::AgeOf(TimePoint stated_at) const {
+  return std::chrono::ceil<Millis>(m_now - stated_at);
+}
+
+Millis PlatformFleetSimulation::MaxWatchWait(size_t instance) const {
+  const State* state = m_instances[instance].state.get();
+  const Millis wait = state == nullptr ? Millis(0) : state->ListsWatchWait();
+  return m_with_keys ? std::min(wait, Millis(700)) : wait;
+}
+
 void PlatformFleetSimulation::DeliverStoreRead(size_t instance, uint64_t incarnation, bool ok) {
   DeliverEvent(instance, incarnation, [this, ok]() -> Event::Any { return Event::StoreReadEnded{m_now, ok}; });
 }
@@ -110,8 +122,8 @@
     DeliverPlans(index, incarnation, snapshot, effect.may_lag);
     if (effect.may_lag)
       return;
-    DeliverEvent(index, incarnation, [=, this]() -> Event::Any {
-      return Event::StoreConfirmed{m_now, generation, started_at};
+    DeliverEvent(index, incarnation, [=, this, stated_at = m_now]() -> Event::Any {
+      return Event::StoreConfirmed{m_now, generation, started_at, AgeOf(stated_at)};
     });
   };
   CallStore(index, on_answer, [] {});
@@ -125,11 +137,12 @@
   if (instance.incarnation != incarnation || !instance.watching || instance.state == nullptr)
     return;
   if (instance.store_mode != StoreMode::kAnswers) {
-    const Duration wait =
-        instance.store_mode == StoreMode::kSilent ? Duration(MaxWatchWait()) : Duration(kWatchRetryDelay);
+    const Duration wait = instance.store_mode == StoreMode::kSilent
+                              ? Duration(MaxWatchWait(index) + kWatchTimeoutMargin)
+                              : Duration(kWatchRetryDelay);
     RunAfter(wait, [=, this] {
       DeliverStoreRead(index, incarnation, m_instances[index].store_mode == StoreMode::kAnswers);
-      ContinueWatch(index, incarnation, operator_revision, m_now + MaxWatchWait());
+      ContinueWatch(index, incarnation, operator_revision, m_now + MaxWatchWait(index));
     });
     return;
   }
@@ -139,14 +152,15 @@
     return;
   }
   DeliverPlans(index, incarnation, latest, false);
-  const TimePoint started_at = wait_until - MaxWatchWait();
-  DeliverEvent(index, incarnation, [this, generation = latest.generation, started_at]() -> Event::Any {
-    return Event::StoreConfirmed{m_now, generation, started_at};
-  });
+  const TimePoint started_at = wait_until - MaxWatchWait(index);
+  DeliverEvent(index, incarnation,
+               [this, generation = latest.generation, started_at, stated_at = m_now]() -> Event::Any {
+                 return Event::StoreConfirmed{m_now, generation, started_at, AgeOf(stated_at)};
+               });
   ++m_store_call_count;
   DeliverStoreRead(index, incarnation, true);
   RunAfter(NetworkDelay(), [=, this, seen = latest.operator_revision] {
-    ContinueWatch(index, incarnation, seen, m_now + MaxWatchWait());
+    ContinueWatch(index, incarnation, seen, m_now + MaxWatchWait(index));
   });
 }
 
@@ -156,10 +170,20 @@
   instance.watching = effect.on;
   if (starts)
     RunAfter(NetworkDelay(), [this, index, incarnation = instance.incarnation] {
-      ContinueWatch(index, incarnation, 0, m_now + MaxWatchWait());
+      ContinueWatch(index, incarnation, 0, m_now + MaxWatchWait(index));
     });
 }
 
+void PlatformFleetSimulation::FailLongPoll(size_t index, uint64_t incarnation, bool whole, TimePoint respond_by) {
+  const bool silent = m_instances[index].store_mode == StoreMode::kSilent;
+  RunAfter(silent ? respond_by + kWatchTimeoutMargin - m_now : Duration::zero(), [=, this] {
+    if (m_instances[index].incarnation != incarnation)
+      return;
+    (whole ? m_instances[index].reading_all : m_instances[index].reading_changes) = false;
+    DeliverStoreRead(index, incarnation, false);
+  });
+}
+
 void PlatformFleetSimulation::LongPollEndpoints(size_t index, const Effect::ReadEndpoints& read, TimePoint respond_by) {
   const uint64_t incarnation = m_instances[index].incarnation;
   Event::EndpointsReceived event;
@@ -170,7 +194,7 @@
       if (m_instances[index].incarnation == incarnation && m_instances[index].store_mode == StoreMode::kAnswers)
         LongPollEndpoints(index, read, respond_by);
       else
-        (read.whole ? m_instances[index].reading_all : m_instances[index].reading_changes) = false;
+        FailLongPoll(index, incarnation, read.whole, respond_by);
     });
     return;
   }
@@ -184,8 +208,9 @@
     }
   }
   (read.whole ? m_instances[index].reading_all : m_instances[index].reading_changes) = false;
-  DeliverEvent(index, incarnation, [this, event]() mutable -> Event::Any {
+  DeliverEvent(index, incarnation, [this, event, stated_at = m_now]() mutable -> Event::Any {
     event.now = m_now;
+    event.age = AgeOf(stated_at);
     return event;
   });
 }
--- a/libs/entry/src/entry_instance.cc
+++ b/libs/entry/src/entry_instance.cc
@@ -73,6 +73,8 @@
   options.retry_slack = settings.retry_slack;
   options.ask_first = settings.ask_first;
   options.key_revocation_limit = duration_cast<milliseconds>(settings.key_revocation_limit);
+  options.endpoint_leave_limit = duration_cast<milliseconds>(settings.endpoint_leave_limit);
+  options.lists_apply_limit = duration_cast<milliseconds>(settings.lists_apply_limit);
   options.hedging = settings.hedging;
   options.hedge_limit = settings.hedge_limit / 100;
   options.gossip_period = duration_cast<milliseconds>(settings.gossip_period);
@@ -361,7 +363,8 @@
   Log(level, "settings_reloaded", {{"restart_needed", same_sockets ? "no" : "yes, for changed addresses"}});
   const StateOptions options = MakeStateOptions(settings, m_engine.GetClock());
   m_engine.Post(Event::SettingsChanged{m_engine.Now(), options.retry_ratio, options.retry_slack, options.address_ttl,
-                                       options.linger_limit, options.hedge_limit});
+                                       options.linger_limit, options.hedge_limit, options.endpoint_leave_limit,
+                                       options.lists_apply_limit});
 }
 
 void EntryInstance::Impl::OnEffect(const Effect::CloseListeners& /*effect*/) {
--- a/libs/entry/src/fleet_link.cc
+++ b/libs/entry/src/fleet_link.cc
@@ -24,10 +24,8 @@
 
 using std::chrono::milliseconds;
 
-/** How long one watch request waits for a change of the plans; its timeout confirms that there was none. */
-constexpr milliseconds kWatchTimeout{2'200};
-/** The same while API keys are honored only with a recent confirmation, whose age counts from the start of a watch. */
-constexpr milliseconds kWatchTimeoutForKeys{700};
+/** Longest wait of a watch for a change of the plans while API keys are honored only with a recent confirmation, whose age counts from the start of a watch. */
+constexpr milliseconds kMaxWatchWaitForKeys{700};
 /** Timeout of a request for plans to a peer. */
 constexpr milliseconds kPeerRequestTimeout{500};
 /** Most bytes of plans from a peer. */
@@ -39,6 +37,14 @@
 constexpr int kOk = 200;
 constexpr int kNotFound = 404;
 
+/**
+ * Upper bound of the time since the store made its reply to a call that began at `started_at` and let it wait: a paused
+ * process may read a reply long after it arrived.
+ */
+milliseconds ReplyAge(TimePoint started_at, milliseconds wait, TimePoint now) {
+  return std::max(milliseconds::zero(), std::chrono::ceil<milliseconds>(now - started_at) - wait);
+}
+
 }  // namespace
 
 FleetLink::FleetLink(asio::io_context& context, Engine& engine, std::shared_ptr<FleetStore> store)
@@ -94,7 +100,11 @@
                                              consistency == ReadConsistency::kSerializable});
 }
 
-void FleetLink::ProcessPlans(const PlansSnapshot& snapshot, ReadConsistency consistency, TimePoint started_at) {
+void FleetLink::ProcessPlans(const PlansSnapshot& snapshot,
+                             ReadConsistency consistency,
+                             TimePoint started_at,
+                             milliseconds wait) {
+  const milliseconds age = ReplyAge(started_at, wait, m_engine.BootTime());
   PostEvacuations(snapshot, consistency);
   m_plans_as_of = std::max(m_plans_as_of, snapshot.as_of);
   if (snapshot.generation > m_engine.GetState().Generation())
@@ -110,7 +120,7 @@
   if (snapshot.generation > 0)
     m_stored_plans_unusable = false;
   m_engine.Post(Event::StoreConfirmed{m_engine.Now(), m_engine.GetState().Generation(),
-                                      m_stored_plans_unusable ? TimePoint() : started_at});
+                                      m_stored_plans_unusable ? TimePoint() : started_at, age});
 }
 
 void FleetLink::OnEffect(const Effect::PollStore& effect) {
@@ -250,8 +260,10 @@
   return std::nullopt;
 }
 
-milliseconds FleetLink::WatchTimeout() const {
-  return m_engine.GetState().NeedsKeyConfirmation() ? kWatchTimeoutForKeys : kWatchTimeout;
+milliseconds FleetLink::WatchWait() const {
+  const State& state = m_engine.GetState();
+  const milliseconds wait = state.ListsWatchWait();
+  return state.NeedsKeyConfirmation() ? std::min(wait, kMaxWatchWaitForKeys) : wait;
 }
 
 void FleetLink::OnEffect(const Effect::WatchStore& effect) {
@@ -263,14 +275,15 @@
 asio::awaitable<void> FleetLink::RunWatch() {
   while (m_watch_enabled) {
     const TimePoint started_at = m_engine.BootTime();
+    const milliseconds wait = m_plans_as_of == 0 ? milliseconds::zero() : WatchWait();
     absl::StatusOr<PlansSnapshot> snapshot = PlansSnapshot();
     if (m_plans_as_of == 0)
       snapshot = co_await m_store->ReadPlans(ReadConsistency::kLinearizable);
     else
-      snapshot = co_await m_store->WatchPlans(m_plans_as_of, WatchTimeout());
+      snapshot = co_await m_store->WatchPlans(m_plans_as_of, wait);
     RecordResult(snapshot.status());
     if (snapshot.ok() && snapshot->as_of > 0) {
-      ProcessPlans(*snapshot, ReadConsistency::kLinearizable, started_at);
+      ProcessPlans(*snapshot, ReadConsistency::kLinearizable, started_at, wait);
       m_watch_failures = 0;
       continue;
     }
@@ -292,6 +305,7 @@
     running = false;
     co_return;
   }
+  const TimePoint started_at = m_engine.BootTime();
   absl::StatusOr<EndpointsUpdate> update = EndpointsUpdate();
   if (effect.whole || effect.after_revision == 0)
     update = co_await m_store->ReadEndpoints(effect.may_lag ? ReadConsistency::kSerializable
@@ -309,6 +323,7 @@
   event.as_of = update->as_of;
   event.whole = update->is_snapshot;
   event.may_lag = effect.may_lag;
+  event.age = ReplyAge(started_at, effect.wait, m_engine.BootTime());
   event.changes = std::move(update->changes);
   m_engine.Post(std::move(event));
 }
--- a/libs/entry/src/fleet_link.h
+++ b/libs/entry/src/fleet_link.h
@@ -54,7 +54,7 @@
   boost::asio::awaitable<bool> FetchPlansFromPeer(std::string peer_address);
   /** Fetches the endpoints from a peer; false if it does not answer or its answer is unusable. */
   boost::asio::awaitable<bool> FetchEndpointsFromPeer(std::string peer_address, std::chrono::milliseconds limit);
-  std::chrono::milliseconds WatchTimeout() const;
+  std::chrono::milliseconds WatchWait() const;
   boost::asio::awaitable<void> RunWatch();
   boost::asio::awaitable<void> RunReadEndpoints(Effect::ReadEndpoints effect);
   boost::asio::awaitable<void> RunReadRoster();
@@ -65,7 +65,10 @@
   /** Passes the evacuated failure domains on to the reducer, if the snapshot holds them. */
   void PostEvacuations(const PlansSnapshot& snapshot, ReadConsistency consistency);
   /** @param started_at  Engine::BootTime() before the read */
-  void ProcessPlans(const PlansSnapshot& snapshot, ReadConsistency consistency, TimePoint started_at);
+  void ProcessPlans(const PlansSnapshot& snapshot,
+                    ReadConsistency consistency,
+                    TimePoint started_at,
+                    std::chrono::milliseconds wait = {});
   /** Counts a store request, and tells the reducer whether the store answered it. */
   void RecordResult(const absl::Status& status);
 
--- a/libs/entry/src/log_record_writer.cc
+++ b/libs/entry/src/log_record_writer.cc
@@ -38,6 +38,7 @@
     {LogRecord::Kind::kDomainEvacuated, LogLevel::kWarning, "domain_evacuated", "failure_domain", "as_of"},
     {LogRecord::Kind::kEvacuationEnded, LogLevel::kInfo, "evacuation_ended", "failure_domain", "as_of"},
     {LogRecord::Kind::kHedgesRefused, LogLevel::kInfo, "hedges_refused", "plan", "count"},
+    {LogRecord::Kind::kStaleRead, LogLevel::kInfo, "stale_read", "what", "age_ms"},
 });
 
 }  // namespace
--- a/libs/settings/include/settings/settings.h
+++ b/libs/settings/include/settings/settings.h
@@ -71,6 +71,10 @@
   bool late_binding = true;
   /** Time after which a removed API key must have no effect on any instance; 0 for no bound. */
   std::chrono::microseconds key_revocation_limit{};
+  /** Time within which no instance may send to an endpoint any more, after the store accepted that it leaves. */
+  std::chrono::microseconds endpoint_leave_limit{};
+  /** Time within which new lists must be in force on every instance, after the store accepted them. */
+  std::chrono::microseconds lists_apply_limit{};
   /** Hedges per 100 calls that a service may make; 0 turns hedging off. */
   double hedge_limit = 0;
 };
--- a/libs/settings/src/settings.cc
+++ b/libs/settings/src/settings.cc
@@ -24,6 +24,8 @@
 constexpr microseconds kDefaultGossipPeriod = 250ms;
 constexpr double kDefaultRetryRatio = 0.2;
 constexpr double kDefaultRetrySlack = 480;
+constexpr microseconds kDefaultEndpointLeaveLimit = 2s;
+constexpr microseconds kDefaultListsApplyLimit = 2s;
 constexpr double kDefaultHedgeLimit = 10;
 constexpr int64_t kDefaultQueueLimit = 512;
 constexpr int64_t kDefaultCallerConnections = 4'096;
@@ -65,6 +67,9 @@
   settings.hedging = reader.ChoiceOr("hedging", {"on", "off"}, 0) == 0;
   settings.late_binding = reader.ChoiceOr("late_binding", {"on", "off"}, 0) == 0;
   settings.key_revocation_limit = reader.DurationOr("key_revocation_limit", 0s, kMaxPlatformTime, 0s);
+  settings.endpoint_leave_limit =
+      reader.DurationOr("endpoint_leave_limit", 0s, kMaxPlatformTime, kDefaultEndpointLeaveLimit);
+  settings.lists_apply_limit = reader.DurationOr("lists_apply_limit", 0s, kMaxPlatformTime, kDefaultListsApplyLimit);
   settings.hedge_limit = reader.NumberOr("hedge_limit", 0, 100, kDefaultHedgeLimit);
   if (absl::Status status = reader.Finish(); !status.ok())
     return status;
