--- a/libs/core/src/state.cc
+++ b/libs/core/src/state.cc
@@ -8,6 +8,7 @@
 #include "core/plan_counters.h"
 #include "core/state_options.h"
 #include "dispatch.h"
+#include "freshness.h"
 #include "key_confirmation.h"
 #include "state_parts.h"
 
--- a/libs/core/src/state_parts.h
+++ b/libs/core/src/state_parts.h
@@ -14,7 +14,7 @@
 #include "endpoint_feed.h"
 #include "endpoint_table.h"
 #include "evacuation_state.h"
-#include "freshness.h"
+#include "freshness_state.h"
 #include "idempotency_table.h"
 #include "key_confirmation.h"
 #include "lists/caller_limits.h"
--- a/libs/entry/tests/null_control_sink.h
+++ b/libs/entry/tests/null_control_sink.h
@@ -4,8 +4,8 @@
 
 namespace sassafras {
 
-/** Ignores all effects. */
-class NullControlSink final : public ControlSink {
+/** Ignores all effects, but for those that a test handles. */
+class NullControlSink : public ControlSink {
  public:
   void OnEffect(const Effect::SendProbe&) override {}
   void OnEffect(const Effect::ReadEndpoints&) override {}
--- a/libs/entry/tests/one_answer_fuzz_test.cc
+++ b/libs/entry/tests/one_answer_fuzz_test.cc
@@ -27,7 +27,7 @@
 constexpr int kUsualCalls = 24;
 
 /** Answers the probes of usual calls at once and keeps those of the call under test for it. */
-class ProbeSink final : public ControlSink {
+class ProbeSink final : public NullControlSink {
  public:
   explicit ProbeSink(CallFixture& fixture) : m_fixture(fixture) {}
 
@@ -43,6 +43,7 @@
     return true;
   }
 
+  using NullControlSink::OnEffect;
   void OnEffect(const Effect::SendProbe& effect) override {
     m_last_call = effect.call;
     if (m_hold)
@@ -50,18 +51,6 @@
     else
       Answer(effect);
   }
-  void OnEffect(const Effect::ReadEndpoints&) override {}
-  void OnEffect(const Effect::SendGossip&) override {}
-  void OnEffect(const Effect::FetchLists&) override {}
-  void OnEffect(const Effect::PollStore&) override {}
-  void OnEffect(const Effect::WatchStore&) override {}
-  void OnEffect(const Effect::ReadRoster&) override {}
-  void OnEffect(const Effect::WriteRoster&) override {}
-  void OnEffect(const Effect::RestoreLists&) override {}
-  void OnEffect(const Effect::ClaimSeat&) override {}
-  void OnEffect(const Effect::ReleaseSeat&) override {}
-  void OnEffect(const Effect::CloseListeners&) override {}
-  void OnEffect(const Effect::WriteLogRecord&) override {}
 
  private:
   void Answer(const Effect::SendProbe& probe) {
