Discovery: a read for age lists all endpoints where changes alone would not mend them

After a restore of the store an instance that is no watcher kept refusing an entry that the store listed, for good: its reads for age brought changes only, and with a later revision than its peers' copies it ignored theirs. Such a read now lists all endpoints if a peer's differ or a restore calls for it. Callers would have missed an endpoint.

Evidence: i0 in the platform fuzz, "i0 knows 2 endpoints, the store lists 3": as_of 6/1d, e8 gone with refused=6/19, rereads due for 6.3 s, differs.

--- a/libs/core/src/discovery.cc
+++ b/libs/core/src/discovery.cc
@@ -133,8 +133,9 @@
   if (now < EndpointsReadTime(parts))
     return false;
   OnStaleEndpointsRead(parts, now);
-  // The store no longer has the changes since a read long ago.
-  whole = since > kMaxChangesAge;
+  // The store no longer has the changes since a read long ago, and changes do not show what a listing would correct.
+  const bool differs = feed.peer_differs_since != TimePoint();
+  whole = since > kMaxChangesAge || differs || now >= feed.rereads_at;
   return true;
 }
 
