Freshness: a watcher that only waits for changes asks half as often

test_platform_store_calls_stay_few counted 21 calls to the store in 5 s where 20 are the bound: the confirmer's short waits came on top of the other watchers'.

--- a/libs/core/src/freshness.cc
+++ b/libs/core/src/freshness.cc
@@ -26,7 +26,7 @@
 static_assert(kWatchWaitPart + kQueryPeriodPart < kFirstReadPart, "reads that no failure calls for");
 static_assert(kFirstReadPart < kLastReadPart && kLastReadPart < 1, "a change would be in force too late");
 /** Longest time for which a watcher that is not the confirmer lets the store wait for a change. */
-constexpr milliseconds kIdleWatchWait{2'200};
+constexpr milliseconds kIdleWatchWait{4'400};
 /** Minimum time between two reads of the lists by one instance. */
 constexpr milliseconds kMinListsReadInterval{900};
 /** Part of the time to apply a change after which a failed read is repeated: a random one between these. */
