--- a/libs/entry/src/fleet_link.cc
+++ b/libs/entry/src/fleet_link.cc
@@ -24,7 +24,8 @@
 
 using std::chrono::milliseconds;
 
-/** Longest wait of a watch for a change of the plans while API keys are honored only with a recent confirmation, whose age counts from the start of a watch. */
+/** Longest wait of a watch for a change of the plans while API keys are honored only with a recent confirmation, whose
+ * age counts from the start of a watch. */
 constexpr milliseconds kMaxWatchWaitForKeys{700};
 /** Timeout of a request for plans to a peer. */
 constexpr milliseconds kPeerRequestTimeout{500};
