Read once more: a limit that never binds, and a test that built an event twice

kMaxQueryPeriodForKeys (1.2 s) has been dead since queries come at least each 0.25 of the time to apply a change, which is used up to 4 s: 1 s at most. HedgingFixture::End returns the effects, so that two tests need not build their event themselves; their assertions are unchanged.

--- a/libs/core/src/watchers.cc
+++ b/libs/core/src/watchers.cc
@@ -29,8 +29,6 @@
 constexpr milliseconds kMinQueryPeriod{500};
 /** Queries per second that one watcher gets in a large fleet, whose instances query less often. */
 constexpr double kQueriesPerWatcherPerSecond = 40.0;
-/** Longest time between queries while API keys are honored only with a recent confirmation. */
-constexpr milliseconds kMaxQueryPeriodForKeys{1'200};
 /** Longest time to wait for a reply. */
 constexpr milliseconds kReplyTimeout{250};
 
@@ -99,8 +97,6 @@
       std::chrono::duration<double>(static_cast<double>(candidates.size()) /
                                     (kQueriesPerWatcherPerSecond * static_cast<double>(kWatchersPerDomain))));
   pause = std::max<Duration>(pause, kMinQueryPeriod);
-  if (NeedsKeyConfirmation(parts))
-    pause = std::min<Duration>(pause, kMaxQueryPeriodForKeys);
   pause = std::min<Duration>({pause, ListsFreshness(parts).query_period, EndpointsFreshness(parts).query_period});
   watchers.next_query_at = now + pause;
   if (candidates.empty())
--- a/libs/core/tests/hedging_test.cc
+++ b/libs/core/tests/hedging_test.cc
@@ -70,7 +70,8 @@
     return m_instance.HandleEvent(Event::HedgeDue{m_instance.Now(), running.call});
   }
 
-  void End(CallHandle call, EndpointHandle endpoint, AttemptResult result) {
+  /** Ends an attempt; returns what the instance then does. */
+  Effects End(CallHandle call, EndpointHandle endpoint, AttemptResult result) {
     Event::AttemptEnded ended;
     ended.now = m_instance.Now();
     ended.call = call;
@@ -79,6 +80,7 @@
     const Effects& effects = m_instance.HandleEvent(ended);
     for (const auto& record : SingleInstance::EffectsOfType<Effect::WriteLogRecord>(effects))
       m_refusal_records += record.record.kind == LogRecord::Kind::kHedgesRefused ? 1 : 0;
+    return effects;
   }
 
   /** Runs a call to its end: the endpoint that answers first wins, the other attempt is cancelled. */
@@ -578,12 +580,7 @@
   REQUIRE_FALSE(SingleInstance::EffectsOfType<SendProbe>(probes).empty());
   fixture.Instance().HandleEvent(Event::AnswerStarted{fixture.Instance().Now(), running.call});
   CHECK(fixture.Instance().AnswerProbes(probes).empty());
-  Event::AttemptEnded ended;
-  ended.now = fixture.Instance().Now();
-  ended.call = running.call;
-  ended.endpoint = running.endpoint;
-  ended.result = AttemptResult::kBroken;
-  const Effects end = fixture.Instance().HandleEvent(ended);
+  const Effects end = fixture.End(running.call, running.endpoint, AttemptResult::kBroken);
   CHECK(SingleInstance::EffectsOfType<SendProbe>(end).empty());
   CHECK(SingleInstance::EffectsOfType<Dispatch>(end).empty());
   CHECK(SingleInstance::EffectsOfType<Effect::Reject>(end).size() == 1);
@@ -599,12 +596,7 @@
     fixture.Instance().Advance(running.hedge_at - fixture.Instance().Now());
     REQUIRE(fixture.Instance().AnswerProbes(fixture.HedgeDue(running)).size() == 1);
     fixture.Instance().HandleEvent(Event::AnswerStarted{fixture.Instance().Now(), running.call});
-    Event::AttemptEnded ended;
-    ended.now = fixture.Instance().Now();
-    ended.call = running.call;
-    ended.endpoint = running.endpoint;
-    ended.result = result;
-    const Effects end = fixture.Instance().HandleEvent(ended);
+    const Effects end = fixture.End(running.call, running.endpoint, result);
     CHECK(SingleInstance::EffectsOfType<Effect::Reject>(end).size() == 1);
   }
 }
